--- /dev/null
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -0,0 +1,27 @@
+package rampshift.decide;
+
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** One sending of a task to a worker. */
+final class Assignment {
+    final Task task;
+    final int number;
+    final Worker worker;
+    final Moment sentAt;
+    final Span predicted;
+    Moment begunAt;
+    Moment progressAt;
+    double progress;
+    boolean ended;
+    boolean neverRan;
+    boolean calledOff;
+
+    Assignment(Task task, int number, Worker worker, Moment sentAt, Span predicted) {
+        this.task = task;
+        this.number = number;
+        this.worker = worker;
+        this.sentAt = sentAt;
+        this.predicted = predicted;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -0,0 +1,778 @@
+package rampshift.decide;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.zip.CRC32;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * The one decision module: where a task goes, when it goes again, when it is bounced or abandoned.
+ *
+ * How it is called: the host sets the clock, reports what it heard through the input calls (they only
+ * update what is known), then calls next(out) until it is false; each call that is true made one call on
+ * out. Interface: inputs are the public methods here, answers are Decisions, figures given are Settings.
+ * The mechanism is Redundant-to-Idle-Queue; docs/design.md tells what was kept, changed and why.
+ */
+public final class Choice {
+    // The draw. D candidates of the own zone, and as many from elsewhere.
+    private static final int D = 4;
+    private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
+    private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share in proportion
+    private static final double MOST_SAVED = 10;        // extra sends that may be saved up
+    private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
+    // Admission: the least part of a task's earnings that must be expected for it to be taken.
+    private static final double TAKE_AT = 0.3;
+    private static final double SPREAD = 0.4;           // how far a prediction is off, in running times
+    // Probes, in mean running times.
+    private static final double FRESH_FOR = 1.0;
+    private static final double PROBE_WAIT = 0.1;
+    // Health.
+    private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
+    private static final int BAD_LEAST = 2;
+    private static final double SILENCE = 4;            // predicted spans without a word
+    private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
+    private static final double OVERDUE = 2;            // running times after which a running task counts as slow
+    private static final double COLD_SHARE = 0.5;       // of the cold budget that is ever used
+
+    /** How a list of workers came. */
+    public enum List { FAILED, CHANGES, WHOLE, REMEMBERED }
+
+    private record Timer(Moment at, long order, Task task) { }
+
+    private final Settings settings;
+    private final CRC32 crc = new CRC32();
+    private long counter;
+    private Moment now;
+    private final Map<Long, Task> tasks = new HashMap<>();         // looked up, never walked
+    private final Map<Long, Worker> known = new HashMap<>();       // looked up, never walked
+    private final ArrayList<Worker> workers = new ArrayList<>();   // in the order of their ids
+    private final ArrayDeque<Task> todo = new ArrayDeque<>();
+    private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::order));
+    private long timerOrder;
+    private Moment armed;
+    private final Samples[] work;                                  // running times by traffic type
+    private final Samples anyWork = new Samples(64);
+    private final Samples earningsAsked = new Samples(64);
+    private double extraSends = 1;
+    private List listKind;
+    private Moment subscribeAt;
+    private int subscribeFailures;
+
+    public Choice(Settings settings, Moment now) {
+        this.settings = settings;
+        this.now = now;
+        work = new Samples[settings.types.size()];
+        for (int i = 0; i < work.length; i++) {
+            work[i] = new Samples(32);
+        }
+        if (settings.listOnRequest) {
+            subscribeAt = now;
+            timer(now, null);
+        }
+    }
+
+    // ---------------------------------------------------------------- inputs: what is known
+
+    public void clock(Moment now) {
+        this.now = now;
+    }
+
+    public void listBegins(List kind) {
+        listKind = kind;
+        if (kind == List.WHOLE || kind == List.REMEMBERED) {
+            for (Worker w : workers) {
+                w.listed = false;
+            }
+        }
+        if (kind == List.FAILED) {
+            // Spaced out and scattered, so that a restart of all dispatchers does not drown the list service.
+            subscribeFailures++;
+            subscribeAt = now.plus(settings.askWithin.times(
+                    0.1 * Math.min(4, subscribeFailures) * (0.5 + chance())));
+            timer(subscribeAt, null);
+        } else if (kind != List.REMEMBERED) {
+            subscribeFailures = 0;
+        }
+    }
+
+    public void listed(long id, int zone, int cell, int kind, boolean ready, Moment bornAt) {
+        Worker w = known.get(id);
+        if (w == null) {
+            w = new Worker(id);
+            known.put(id, w);
+            int place = 0;
+            while (place < workers.size() && workers.get(place).id < id) {
+                place++;
+            }
+            workers.add(place, w);
+        } else if (bornAt.micros() > 0 && !bornAt.equals(w.bornAt)) {
+            forget(w);
+        }
+        w.zone = zone;
+        w.cell = cell;
+        w.kind = kind;
+        w.ready = ready;
+        w.listed = true;
+        w.bornAt = bornAt;
+    }
+
+    public void listEnds() {
+        if (listKind == List.WHOLE || listKind == List.REMEMBERED) {
+            for (Worker w : workers) {
+                w.ready &= w.listed;
+            }
+        }
+    }
+
+    /** A worker that restarted: what was learnt of its former process no longer holds. */
+    private void forget(Worker w) {
+        w.expected.clear();
+        w.ran.clear();
+        w.bad.clear();
+        w.others.clear();
+        w.trickle = 0;
+        w.reported = false;
+        w.lastWord = null;
+    }
+
+    public void arrived(long id, int type, int tenant, Span hint, double width, double memory, Span patience) {
+        TrafficType row = settings.types.get(type);
+        Moment expiry = now.plus(patience);
+        Moment first = expiry.minus(row.expiry()).orEarlier(now);
+        Task t = new Task(id, row, type, hint, Math.max(width, 1), memory, first, expiry);
+        tasks.put(id, t);
+        earningsAsked.put(row.earnings());
+        queue(t);
+        timer(expiry.minus(settings.tick.times(2)), t);
+    }
+
+    public void begun(long id, int number) {
+        Assignment a = assignment(id, number);
+        if (a != null && a.begunAt == null) {
+            a.begunAt = now;
+            word(a.worker);
+        }
+    }
+
+    public void progressed(long id, int number, double share) {
+        Assignment a = assignment(id, number);
+        if (a != null) {
+            a.progress = share;
+            a.progressAt = now;
+            word(a.worker);
+        }
+    }
+
+    public void reported(long id, double free, double queued, double held, double memoryFree) {
+        Worker w = known.get(id);
+        if (w == null) {
+            return;
+        }
+        w.reported = true;
+        w.memoryFree = memoryFree;
+        if (!Double.isNaN(free) && !Double.isNaN(held)) {
+            if (free > 0.5) {
+                w.room.put(free + held);
+            }
+        } else if (!Double.isNaN(free)) {
+            w.room.put(free);
+        }
+        double all = !Double.isNaN(held) ? held
+                : !Double.isNaN(free) ? room(w) - free + (Double.isNaN(queued) ? 0 : queued)
+                : Double.isNaN(queued) ? 0 : queued;
+        w.others.put(Math.max(0, all - ownWidth(w)));
+    }
+
+    public void echoed(long id, boolean answered) {
+        Worker w = known.get(id);
+        if (w == null) {
+            return;
+        }
+        w.probeSilent = !answered;
+        if (answered) {
+            word(w);
+        }
+        for (Task t : w.asking) {
+            if (--t.echoesDue == 0) {
+                queue(t);
+            }
+        }
+        w.asking.clear();
+    }
+
+    public void ended(long id, int number, Outcome outcome, boolean terminal) {
+        Assignment a = assignment(id, number);
+        if (a == null || a.ended) {
+            return;
+        }
+        Task t = a.task;
+        Worker w = a.worker;
+        a.ended = true;
+        a.neverRan = outcome.neverRan;
+        w.out.remove(a);
+        t.open--;
+        w.lastFull = outcome == Outcome.FULL;
+        if (outcome == Outcome.FINISHED) {
+            finished(a);
+        } else if (outcome == Outcome.ERRED || outcome == Outcome.NO_CONNECTION || outcome == Outcome.BROKEN
+                || outcome == Outcome.TIMED_OUT) {
+            judge(w, true);
+        }
+        if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
+            word(w);
+        }
+        if (terminal) {
+            close(t);
+        } else if (!t.closed && t.open == 0) {
+            t.drawn.clear();
+            t.asked = false;
+            queue(t);
+        }
+        if (t.closed && t.open == 0) {
+            tasks.remove(id);
+        }
+    }
+
+    public void clientLeft(long id) {
+        Task t = tasks.get(id);
+        if (t != null) {
+            close(t);
+        }
+    }
+
+    public void woken() {
+        armed = null;
+    }
+
+    private Assignment assignment(long id, int number) {
+        Task t = tasks.get(id);
+        return t == null || number < 0 || number >= t.sent.size() ? null : t.sent.get(number);
+    }
+
+    private void word(Worker w) {
+        w.lastWord = now;
+        w.probeSilent = false;
+    }
+
+    private void finished(Assignment a) {
+        Worker w = a.worker;
+        Span ran = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
+        w.expected.put(work(a.task).millis());
+        w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
+        if (a.begunAt != null) {
+            work[a.task.typeNumber].put(ran.millis());
+            anyWork.put(ran.millis());
+        }
+        judge(w, false);
+    }
+
+    /** Sets a worker aside, or lets its trickle grow: it doubles while it goes well. */
+    private void judge(Worker w, boolean wasBad) {
+        w.bad.put(wasBad ? 1 : 0);
+        if (w.trickle > 0) {
+            w.trickle = wasBad ? 1 : w.trickle * 2;
+            w.trickleFrom = wasBad ? now.plus(meanWork().times(OVERDUE)) : now;
+            if (w.trickle >= RESTORED) {
+                w.trickle = 0;
+                w.bad.clear();
+            }
+        } else if (w.bad.sum() >= BAD_LEAST && w.bad.mean(0) >= BAD_SHARE) {
+            w.trickle = 1;
+            w.trickleFrom = now.plus(meanWork().times(OVERDUE));
+        }
+    }
+
+    /** A final answer was given, or is no longer owed: what is still out is called off. */
+    private void close(Task t) {
+        t.closed = true;
+        t.copies.clear();
+        for (Assignment a : t.sent) {
+            callOff(a);
+        }
+        if (t.open == 0) {
+            tasks.remove(t.id);
+        }
+    }
+
+    private void callOff(Assignment a) {
+        if (!a.ended && !a.calledOff && settings.mayCancel) {
+            a.calledOff = true;
+            toCancel.add(a);
+        }
+    }
+
+    private void queue(Task t) {
+        if (!t.waiting) {
+            t.waiting = true;
+            todo.add(t);
+        }
+    }
+
+    private void timer(Moment at, Task t) {
+        timers.add(new Timer(at, timerOrder++, t));
+    }
+
+    // ---------------------------------------------------------------- figures
+
+    private double chance() {
+        long n = counter++;
+        crc.reset();
+        for (int i = 0; i < 8; i++) {
+            crc.update((int) (settings.seed >>> 8 * i));
+            crc.update((int) (n >>> 8 * i));
+        }
+        return crc.getValue() / 4294967296.0;
+    }
+
+    private Span meanWork() {
+        return Span.ofMillis(anyWork.mean(settings.types.get(0).due().millis()));
+    }
+
+    /** What the task is expected to run on a middling worker. */
+    private Span work(Task t) {
+        return t.hint.micros() > 0 ? t.hint : Span.ofMillis(work[t.typeNumber].mean(t.type.due().millis()));
+    }
+
+    private double warmth(Worker w) {
+        Span age = now.since(w.bornAt);
+        if (w.bornAt.micros() <= 0 || !settings.coldFor.longerThan(age)) {
+            return 1;
+        }
+        return settings.coldFrom + (1 - settings.coldFrom) * Math.max(0, age.over(settings.coldFor));
+    }
+
+    /** Expected over actual running times, running tasks that are overdue included. */
+    private double speed(Worker w) {
+        double prior = meanWork().millis();
+        double expected = w.expected.sum() + prior;
+        double ran = w.ran.sum() + prior / warmth(w);
+        double own = w.expected.count() == 0 ? warmth(w) : w.expected.sum() / w.ran.sum();
+        for (Assignment a : w.out) {
+            if (a.begunAt != null && !a.calledOff) {
+                double due = work(a.task).millis();
+                double age = now.since(a.begunAt).millis();
+                double will = a.progress > 0 ? a.progressAt.since(a.begunAt).millis() / a.progress : age;
+                will = Math.max(will, age);
+                if (will > OVERDUE * due / own) {
+                    expected += due;
+                    ran += will;
+                }
+            }
+        }
+        return expected / ran;
+    }
+
+    private Span run(Worker w, Task t) {
+        return work(t).times(1 / speed(w));
+    }
+
+    private static double ownWidth(Worker w) {
+        double sum = 0;
+        for (Assignment a : w.out) {
+            sum += a.calledOff ? 0 : a.task.width;
+        }
+        return sum;
+    }
+
+    private double room(Worker w) {
+        double begun = 0;
+        for (Assignment a : w.out) {
+            begun += a.begunAt != null && !a.calledOff ? a.task.width : 0;
+        }
+        double seen = w.room.count() > 0 ? w.room.max(1)
+                : begun + (w.out.isEmpty() ? 1 : 0);
+        return Math.max(1, Math.max(Math.rint(seen), begun));
+    }
+
+    private double held(Worker w) {
+        return ownWidth(w) + w.others.mean(0);
+    }
+
+    /** How long a task of this width is expected to wait there before it begins. */
+    private Span wait(Worker w, double width) {
+        double room = room(w);
+        double over = held(w) + width - room;
+        Span wait = over <= 0 ? Span.ZERO : meanWork().times(over / room / speed(w));
+        if (settings.tellsStart) {
+            // An assignment that has not begun shows the queue there, or a worker that hangs or is cut off.
+            for (Assignment a : w.out) {
+                if (a.begunAt == null && !a.calledOff) {
+                    wait = wait.orLonger(now.since(a.sentAt));
+                }
+            }
+        }
+        return wait;
+    }
+
+    private boolean idle(Worker w, Task t) {
+        if (w.probeSilent) {
+            return false;
+        }
+        if (w.reported) {
+            return held(w) + t.width <= room(w) + 0.25 && !(w.memoryFree < t.memory);
+        }
+        return w.out.isEmpty() && !w.lastFull;
+    }
+
+    private Span allowed(Task t) {
+        return t.firstAt.plus(t.type.due()).plus(work(t).times(t.type.stretch())).since(now);
+    }
+
+    private double earnings(Task t) {
+        return t.type.earnings();
+    }
+
+    /** The earnings to be expected from sending the task there now, less the price of crossing. */
+    private double value(Task t, Worker w) {
+        Span run = run(w, t);
+        Span end = wait(w, t.width).plus(run);
+        Span allowed = allowed(t);
+        double inTime = 1 / (1 + Math.exp(-allowed.minus(end).over(run.times(SPREAD).orLonger(settings.tick))));
+        double well = 1 - w.bad.sum() / (w.bad.count() + 2);
+        double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
+        double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
+        return earnings(t) * well * (inTime + (1 - inTime) * late) - cross
+                - 0.02 * earnings(t) * Math.min(5, end.over(t.type.due()));
+    }
+
+    // ---------------------------------------------------------------- deciding
+
+    /** Makes one decision on out, or returns false where there is none left. */
+    public boolean next(Decisions out) {
+        while (!toCancel.isEmpty()) {
+            Assignment a = toCancel.poll();
+            if (!a.ended) {
+                out.cancel(a.task.id, a.number);
+                return true;
+            }
+        }
+        while (!timers.isEmpty() && !now.before(timers.peek().at())) {
+            Task t = timers.poll().task();
+            if (t != null && !t.closed) {
+                queue(t);
+            }
+        }
+        while (!todo.isEmpty()) {
+            Task t = todo.poll();
+            t.waiting = false;
+            if (!t.closed && act(t, out)) {
+                return true;
+            }
+        }
+        if (subscribeAt != null && !now.before(subscribeAt)) {
+            subscribeAt = null;
+            out.subscribe();
+            return true;
+        }
+        if (!timers.isEmpty() && (armed == null || timers.peek().at().before(armed))) {
+            armed = timers.peek().at();
+            out.wakeAt(armed);
+            return true;
+        }
+        return false;
+    }
+
+    private boolean act(Task t, Decisions out) {
+        if (!now.before(t.expiry.minus(settings.tick.times(2)))) {
+            return giveUp(t, out);
+        }
+        while (!t.copies.isEmpty()) {
+            Worker w = t.copies.poll();
+            if (extraSends >= 1 && mayAssign(t, w)) {
+                extraSends--;
+                return assign(t, w, out);
+            }
+        }
+        return t.open == 0 ? place(t, out) : lookAfter(t, out);
+    }
+
+    private boolean place(Task t, Decisions out) {
+        if (!t.asked) {
+            t.asked = true;
+            draw(t);
+            ask(t);
+        }
+        if (!t.toProbe.isEmpty()) {
+            Worker w = t.toProbe.poll();
+            w.probedAt = now;
+            todo.addFirst(t);
+            t.waiting = true;
+            out.probe(w.id);
+            return true;
+        }
+        if (t.echoesDue > 0 && now.before(t.probeUntil)) {
+            return false;
+        }
+        for (Worker w : t.drawn) {
+            if (w.asking.remove(t)) {
+                w.probeSilent = true;   // silence in the short wait means busy
+            }
+        }
+        t.echoesDue = 0;
+        Worker best = null;
+        double most = 0;
+        for (Worker w : t.drawn) {
+            double value = mayAssign(t, w) ? value(t, w) + (idle(w, t) ? 0.01 * earnings(t) : 0) : 0;
+            if (mayAssign(t, w) && (best == null || value > most)) {
+                best = w;
+                most = value;
+            }
+        }
+        if (best == null || most < TAKE_AT * earnings(t) && mayBounce(t)) {
+            return giveUp(t, out);
+        }
+        for (Worker w : t.drawn) {
+            if (w != best && copyPays(t, w)) {
+                t.copies.add(w);
+            }
+        }
+        extraSends = Math.min(MOST_SAVED, extraSends
+                + EXTRA_SENDS * Math.min(1, CHEAP_WASTE / Math.max(settings.wastePrice, 1e-9)));
+        return assign(t, best, out);
+    }
+
+    private boolean copyPays(Task t, Worker w) {
+        return mayCopy(t) && extraSends >= 1 + RESCUE_RESERVE && idle(w, t) && w.zone == settings.zone
+                && value(t, w) >= 0.5 * earnings(t);
+    }
+
+    private boolean mayCopy(Task t) {
+        return settings.mayCancel && settings.secondCopies && t.type.effect() != TrafficType.Effect.SIDE_EFFECTING;
+    }
+
+    /** D random ready workers of the task's kind in the own zone, and D elsewhere. */
+    private void draw(Task t) {
+        t.drawn.clear();
+        boolean distrust = mostlyAside();
+        for (int side = 0; side < 2; side++) {
+            ArrayList<Worker> pool = new ArrayList<>();
+            for (Worker w : workers) {
+                if ((w.zone == settings.zone) == (side == 0) && w.ready && fits(t, w)
+                        && (distrust || trusted(w, t)) && licence(t, w)) {
+                    pool.add(w);
+                }
+            }
+            for (int i = 0; i < D && !pool.isEmpty(); i++) {
+                t.drawn.add(pool.remove((int) (chance() * pool.size())));
+            }
+        }
+    }
+
+    private boolean fits(Task t, Worker w) {
+        return t.type.kind() < 0 || t.type.kind() == w.kind;
+    }
+
+    private boolean trusted(Worker w, Task t) {
+        if (silent(w)) {
+            return false;
+        }
+        return w.trickle == 0 || t.type.effect() != TrafficType.Effect.SIDE_EFFECTING
+                && w.out.size() < w.trickle && !now.before(w.trickleFrom);
+    }
+
+    /** Nothing heard from a worker for several predicted spans while something is out there. */
+    private boolean silent(Worker w) {
+        for (Assignment a : w.out) {
+            Span quiet = now.since(w.lastWord != null && a.sentAt.before(w.lastWord) ? w.lastWord : a.sentAt);
+            if (!a.calledOff && quiet.longerThan(a.predicted.times(SILENCE).orLonger(settings.progressEvery.times(1.5)))) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** When most look bad, the judgement is distrusted rather than the workers. */
+    private boolean mostlyAside() {
+        int ready = 0;
+        int aside = 0;
+        for (Worker w : workers) {
+            if (w.ready) {
+                ready++;
+                aside += w.trickle > 0 || silent(w) ? 1 : 0;
+            }
+        }
+        return aside * 2 > ready;
+    }
+
+    /** Probes the candidates whose last word is no longer fresh, and sets the short wait. */
+    private void ask(Task t) {
+        if (!settings.mayProbe) {
+            return;
+        }
+        Span fresh = meanWork().times(FRESH_FOR);
+        Span wait = meanWork().times(PROBE_WAIT);
+        for (Worker w : t.drawn) {
+            boolean pending = w.probedAt != null && now.since(w.probedAt).micros() < wait.micros()
+                    && !w.asking.isEmpty();
+            boolean stale = w.probedAt == null || now.since(w.probedAt).longerThan(fresh);
+            if (!settings.reportsOnProbe) {
+                stale &= w.lastWord == null || now.since(w.lastWord).longerThan(fresh);
+            }
+            if (pending || stale) {
+                if (!pending) {
+                    t.toProbe.add(w);
+                }
+                w.asking.add(t);
+                t.echoesDue++;
+            }
+        }
+        if (t.echoesDue > 0) {
+            t.probeUntil = now.plus(wait);
+            timer(t.probeUntil, t);
+        }
+    }
+
+    /** A task that is out: is it lost or late where it is, and would another worker still be in time? */
+    private boolean lookAfter(Task t, Decisions out) {
+        Span allowed = allowed(t);
+        boolean stuck = true;
+        Assignment open = null;
+        for (Assignment a : t.sent) {
+            if (!a.ended && !a.calledOff) {
+                open = a;
+                Span age = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
+                boolean late = a.begunAt != null ? age.longerThan(run(a.worker, t).times(OVERDUE))
+                        : age.longerThan(a.predicted.times(OVERDUE)) || wait(a.worker, 0).plus(run(a.worker, t))
+                        .longerThan(allowed);
+                stuck &= late || silent(a.worker);
+            }
+        }
+        if (open == null) {
+            return false;
+        }
+        timer(now.plus(meanWork().times(0.5)), t);
+        if (!stuck || !mayCopy(t) || extraSends < 1) {
+            return false;
+        }
+        draw(t);
+        Worker best = null;
+        double most = 0.5 * earnings(t);
+        for (Worker w : t.drawn) {
+            if (w != open.worker && mayAssign(t, w) && idle(w, t) && value(t, w) > most) {
+                best = w;
+                most = value(t, w);
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        if (open.begunAt == null) {
+            callOff(open);
+        }
+        extraSends--;
+        return assign(t, best, out);
+    }
+
+    // ---------------------------------------------------------------- the guarded place
+
+    /** Every rule that an assignment must keep. */
+    private boolean mayAssign(Task t, Worker w) {
+        return !t.closed && w.ready && t.sent.size() < settings.mostAssignments
+                && now.before(t.expiry.minus(settings.tick.times(2)))
+                && (t.open == 0 || settings.secondCopies) && licence(t, w) && coldRoom(t, w);
+    }
+
+    /** Rule 2: what the traffic type allows after the assignments so far. */
+    private boolean licence(Task t, Worker w) {
+        for (Assignment a : t.sent) {
+            if (a.neverRan) {
+                continue;
+            }
+            if (!a.ended && a.worker == w || t.type.effect() == TrafficType.Effect.SIDE_EFFECTING) {
+                return false;
+            }
+            if (t.type.effect() == TrafficType.Effect.FINGERPRINTED && !(sameGroup(t, a.worker, w)
+                    && now.plus(settings.tick.times(2)).before(a.sentAt.plus(t.type.window())))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static boolean sameGroup(Task t, Worker a, Worker b) {
+        return switch (t.type.group()) {
+            case ALL -> true;
+            case ZONE -> a.zone == b.zone;
+            case CELL -> a.cell == b.cell;
+        };
+    }
+
+    private boolean mayBounce(Task t) {
+        if (t.type.effect() == TrafficType.Effect.IDEMPOTENT) {
+            return true;
+        }
+        for (Assignment a : t.sent) {
+            if (!a.neverRan && (t.type.effect() == TrafficType.Effect.SIDE_EFFECTING
+                    || t.type.group() != TrafficType.Group.ALL)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Rule 4: this dispatcher's part of what a cold worker may be sent in any window of the stated length. */
+    private boolean coldRoom(Task t, Worker w) {
+        double warmth = warmth(w);
+        if (warmth >= 1) {
+            return true;
+        }
+        while (!w.sentAt.isEmpty() && now.since(w.sentAt.peek()).longerThan(settings.tipSpan)) {
+            w.sentAt.poll();
+            w.sentWork.poll();
+        }
+        double least = Double.MAX_VALUE;
+        for (Worker o : workers) {
+            if (o.ready && warmth(o) >= 1 && o.room.count() > 0) {
+                least = Math.min(least, room(o) * speed(o));
+            }
+        }
+        least = least == Double.MAX_VALUE ? 1 : least;
+        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * warmth * least
+                / settings.dispatchers);
+        Span sum = work(t).times(t.width);
+        for (Span s : w.sentWork) {
+            sum = sum.plus(s);
+        }
+        return !sum.longerThan(budget);
+    }
+
+    private boolean assign(Task t, Worker w, Decisions out) {
+        Span predicted = wait(w, t.width).plus(run(w, t));
+        Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
+        t.sent.add(a);
+        t.open++;
+        w.out.add(a);
+        if (warmth(w) < 1) {
+            w.sentAt.add(now);
+            w.sentWork.add(work(t).times(t.width));
+        }
+        if (t.copies.isEmpty()) {
+            timer(now.plus(predicted.times(1.2).orShorter(allowed(t).times(0.5)).orLonger(settings.tick)), t);
+        } else {
+            t.waiting = true;
+            todo.addFirst(t);
+        }
+        out.assign(t.id, w.id, Span.ZERO);
+        return true;
+    }
+
+    /** The one place of final answers from here: bounced where that is lawful, else abandoned. */
+    private boolean giveUp(Task t, Decisions out) {
+        boolean bounce = mayBounce(t);
+        close(t);
+        if (bounce) {
+            out.bounce(t.id, settings.comeBackAdvice
+                    ? meanWork().times(1 + chance()).orShorter(settings.longestComeBack) : Span.ZERO);
+        } else {
+            out.abandon(t.id);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Outcome.java
@@ -0,0 +1,14 @@
+package rampshift.decide;
+
+/** How an assignment ended. */
+public enum Outcome {
+    FINISHED(false), ERRED(false), FULL(true), TIMED_OUT(false), NO_CONNECTION(true), BROKEN(false),
+    CALLED_OFF(false), NOT_SENT(true);
+
+    /** Whether it proves that the assignment never ran. */
+    public final boolean neverRan;
+
+    Outcome(boolean neverRan) {
+        this.neverRan = neverRan;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Samples.java
@@ -0,0 +1,49 @@
+package rampshift.decide;
+
+/** The last few values of one measurement. */
+public final class Samples {
+    private final double[] values;
+    private int count;
+    private int next;
+
+    public Samples(int room) {
+        values = new double[room];
+    }
+
+    public void put(double value) {
+        values[next] = value;
+        next = (next + 1) % values.length;
+        if (count < values.length) {
+            count++;
+        }
+    }
+
+    public int count() {
+        return count;
+    }
+
+    public double sum() {
+        double sum = 0;
+        for (int i = 0; i < count; i++) {
+            sum += values[i];
+        }
+        return sum;
+    }
+
+    public double mean(double ifNone) {
+        return count == 0 ? ifNone : sum() / count;
+    }
+
+    public double max(double ifNone) {
+        double max = count == 0 ? ifNone : values[0];
+        for (int i = 1; i < count; i++) {
+            max = Math.max(max, values[i]);
+        }
+        return max;
+    }
+
+    public void clear() {
+        count = 0;
+        next = 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Settings.java
@@ -0,0 +1,40 @@
+package rampshift.decide;
+
+import java.util.ArrayList;
+import java.util.List;
+import rampshift.time.Span;
+
+/** What a dispatcher is told at its start. The host fills it in; the module only reads it. */
+public final class Settings {
+    public long seed;
+    public final List<TrafficType> types = new ArrayList<>();
+    /** Tasks a second within its share, over all dispatchers; a row a tenant. */
+    public final List<Double> tenantQuotas = new ArrayList<>();
+    public int me;
+    public int dispatchers = 1;
+    public int zone;
+    public Span tick = Span.ofMillis(1);
+    public int mostAssignments = 1;
+    public boolean mayProbe;
+    public boolean mayCancel;
+    public boolean secondCopies;
+    public boolean comeBackAdvice;
+    public Span longestComeBack = Span.ZERO;
+    public boolean listOnRequest;
+    public boolean tellsStart;
+    /** Between progress notes; zero where there are none. */
+    public Span progressEvery = Span.ZERO;
+    /** Load reports come with probes only. */
+    public boolean reportsOnProbe;
+    public boolean earningsByWork;
+    public double excessEarnings = 1;
+    public double crossingPrice;
+    public double wastePrice;
+    public double probePrice;
+    public Span stopSendingWithin = Span.ZERO;
+    public Span askWithin = Span.ZERO;
+    public double coldFrom = 1;
+    public Span coldFor = Span.ZERO;
+    public double tipMultiple = 1;
+    public Span tipSpan = Span.ZERO;
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Task.java
@@ -0,0 +1,41 @@
+package rampshift.decide;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** A task taken and what became of it so far. */
+final class Task {
+    final long id;
+    final TrafficType type;
+    final int typeNumber;
+    final Span hint;
+    final double width;
+    final double memory;
+    /** When the client first asked, as far as the time it has left tells. */
+    final Moment firstAt;
+    final Moment expiry;
+    final ArrayList<Assignment> sent = new ArrayList<>();
+    final ArrayList<Worker> drawn = new ArrayList<>();
+    final ArrayDeque<Worker> toProbe = new ArrayDeque<>();
+    final ArrayDeque<Worker> copies = new ArrayDeque<>();
+    boolean asked;
+    int echoesDue;
+    Moment probeUntil;
+    boolean closed;
+    boolean waiting;
+    int open;
+
+    Task(long id, TrafficType type, int typeNumber, Span hint, double width, double memory, Moment firstAt,
+            Moment expiry) {
+        this.id = id;
+        this.type = type;
+        this.typeNumber = typeNumber;
+        this.hint = hint;
+        this.width = width;
+        this.memory = memory;
+        this.firstAt = firstAt;
+        this.expiry = expiry;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -0,0 +1,45 @@
+package rampshift.decide;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** What this dispatcher knows of one worker. */
+final class Worker {
+    final long id;
+    int zone;
+    int cell;
+    int kind;
+    boolean ready;
+    boolean listed;
+    Moment bornAt = new Moment(0);
+    /** Assignments still out there, those called off included until their end is heard. */
+    final ArrayList<Assignment> out = new ArrayList<>();
+    /** Of the last finished assignments: what they were expected to run on a middling worker, and what they ran. */
+    final Samples expected = new Samples(12);
+    final Samples ran = new Samples(12);
+    /** 1 for each of the last outcomes that was bad. */
+    final Samples bad = new Samples(8);
+    /** Slots that other dispatchers held, by the last reports. */
+    final Samples others = new Samples(3);
+    final Samples room = new Samples(12);
+    double memoryFree = Double.NaN;
+    boolean reported;
+    boolean lastFull;
+    boolean probeSilent;
+    Moment lastWord;
+    Moment probedAt;
+    /** 0: not set aside; else how many tasks at once it is trusted with, from a moment on. */
+    int trickle;
+    Moment trickleFrom;
+    /** Sends while it is cold. */
+    final ArrayDeque<Moment> sentAt = new ArrayDeque<>();
+    final ArrayDeque<Span> sentWork = new ArrayDeque<>();
+    /** Tasks that wait for its answer to a probe. */
+    final ArrayList<Task> asking = new ArrayList<>();
+
+    Worker(long id) {
+        this.id = id;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/drill/Drill.java
@@ -0,0 +1,133 @@
+package rampshift.drill;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rampshift.time.Moment;
+
+/** Hosts many instances of the decision module on the simulator's wire; they share nothing. */
+public final class Drill {
+    private final JsonFactory json = new JsonFactory();
+    private final Map<String, Instance> instances = new HashMap<>();
+
+    /** Plays the whole input; the result is the exit status. */
+    public static int run(InputStream in, OutputStream out, PrintStream err) throws IOException {
+        Drill drill = new Drill();
+        BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        int number = 0;
+        for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+            number++;
+            try {
+                out.write(drill.reply(line));
+                out.flush();
+            } catch (JsonProcessingException | Malformed e) {
+                String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
+                err.println("rampshift drill: line " + number + ": " + what.replace('\n', ' '));
+                return 1;
+            }
+        }
+        return 0;
+    }
+
+    /** One batch in, one whole reply out. */
+    byte[] reply(String line) throws IOException {
+        List<Instance> heard = new ArrayList<>();
+        Moment now = null;
+        try (JsonParser in = json.createParser(line)) {
+            Fields.open(in, "a batch");
+            boolean news = false;
+            while (in.nextToken() != null && in.currentName() != null && !in.currentToken().isStructEnd()) {
+                String name = in.currentName();
+                in.nextToken();
+                if (name.equals("SimTimeMs")) {
+                    now = Moment.ofMillis(Fields.number(in, name));
+                } else if (name.equals("news")) {
+                    if (now == null) {
+                        now = laterClock(line);
+                    }
+                    news = true;
+                    events(in, now, heard);
+                } else {
+                    in.skipChildren();
+                }
+            }
+            if (now == null || !news) {
+                throw new Malformed("a batch needs SimTimeMs and news");
+            }
+            if (in.nextToken() != null) {
+                throw new Malformed("more than one value on the line");
+            }
+        }
+        Reply reply = new Reply(json);
+        JsonGenerator out = reply.out;
+        out.writeStartObject();
+        out.writeArrayFieldStart("cmds");
+        for (Instance instance : heard) {
+            instance.heard = false;
+            if (!instance.retired) {
+                instance.answer(reply);
+            }
+        }
+        return reply.finish();
+    }
+
+    /** The clock, where it stands behind the news. */
+    private Moment laterClock(String line) throws IOException {
+        try (JsonParser in = json.createParser(line)) {
+            in.nextToken();
+            while (in.nextToken() != null && !in.currentToken().isStructEnd()) {
+                String name = in.currentName();
+                in.nextToken();
+                if (name.equals("SimTimeMs")) {
+                    return Moment.ofMillis(Fields.number(in, name));
+                }
+                in.skipChildren();
+            }
+        }
+        throw new Malformed("a batch needs SimTimeMs and news");
+    }
+
+    private void events(JsonParser in, Moment now, List<Instance> heard) throws IOException {
+        Fields.array(in, "news");
+        Fields fields = new Fields();
+        while (!in.nextToken().isStructEnd()) {
+            fields.read(in);
+            String who = fields.text("Who");
+            String what = fields.text("t");
+            if (what.equals("Attach")) {
+                Instance instance = new Instance(who, fields.settings, fields.whole("Seed"), now);
+                Instance former = instances.put(who, instance);
+                if (former != null) {
+                    former.retired = true;
+                }
+            }
+            Instance instance = instances.get(who);
+            if (instance == null) {
+                throw new Malformed(what + " for the unknown instance " + who);
+            }
+            if (what.equals("Retire")) {
+                instance.retired = true;
+                instances.remove(who);
+                continue;
+            }
+            if (!instance.heard) {
+                instance.heard = true;
+                heard.add(instance);
+                instance.clock(now);
+            }
+            instance.event(what, fields);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/drill/Instance.java
@@ -0,0 +1,154 @@
+package rampshift.drill;
+
+import rampshift.decide.Choice;
+import rampshift.decide.Outcome;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** One dispatcher's decision module, and the turning of its messages into calls. */
+final class Instance {
+    private static final int JOB_BEGUN = 1;
+    private final String who;
+    private final Choice choice;
+    private final int types;
+    private final String freeSlots;
+    private final String freeMemory;
+    boolean heard;
+    boolean retired;
+    private String fault;
+
+    Instance(String who, SettingsReader settings, long seed, Moment now) {
+        if (settings == null) {
+            throw new Malformed("Attach without Setup");
+        }
+        this.who = who;
+        var read = settings.read(seed);
+        types = read.types.size();
+        choice = new Choice(read, now);
+        freeSlots = settings.reportOf("free slots");
+        freeMemory = settings.reportOf("free memory");
+    }
+
+    void clock(Moment now) {
+        choice.clock(now);
+    }
+
+    void event(String what, Fields f) {
+        if (!known(what)) {
+            throw new Malformed("a message with the unknown t " + what);
+        }
+        if (fault != null) {
+            return;
+        }
+        try {
+            hear(what, f);
+        } catch (Malformed e) {
+            throw e;
+        } catch (RuntimeException e) {
+            fault = what + ": " + e;
+        }
+    }
+
+    private static boolean known(String what) {
+        return switch (what) {
+            case "Attach", "Fleet", "Arrival", "UnderWay", "Note", "Ended", "Hangup", "Wakeup", "Echo", "NoteFrom" -> true;
+            default -> false;
+        };
+    }
+
+    private void hear(String what, Fields f) {
+        switch (what) {
+            case "Fleet" -> fleet(f);
+            case "Arrival" -> arrival(f);
+            case "Note" -> {
+                int number = (int) f.whole("Try");
+                if (f.whole("What") == JOB_BEGUN) {
+                    choice.begun(f.whole("Ref"), number);
+                } else {
+                    choice.progressed(f.whole("Ref"), number, f.number("Value", 0));
+                }
+            }
+            case "Ended" -> {
+                load(f);
+                choice.ended(f.whole("Ref"), (int) f.whole("Try"), outcome(f.text("Disposition")), f.flag("Terminal"));
+            }
+            case "Hangup" -> choice.clientLeft(f.whole("Ref"));
+            case "Echo" -> {
+                load(f);
+                choice.echoed(f.whole("Worker"), f.text("Disposition").equals("S"));
+            }
+            case "Wakeup" -> choice.woken();
+            default -> { }   // Attach is done; a stream's start and peers' messages tell this module nothing
+        }
+    }
+
+    private void fleet(Fields f) {
+        String how = f.text("How");
+        choice.listBegins(switch (how) {
+            case "failed" -> Choice.List.FAILED;
+            case "delta" -> Choice.List.CHANGES;
+            case "full" -> Choice.List.WHOLE;
+            case "cached" -> Choice.List.REMEMBERED;
+            default -> throw new Malformed("Fleet: unknown How " + how);
+        });
+        for (Fields e : f.entries) {
+            String state = e.text("Availability");
+            choice.listed(e.whole("Worker"), e.index("Site"), e.index("Pod"), e.index("Machine"),
+                    state.equals("IN"), Moment.ofMillis(e.number("BornMs", 0)));
+        }
+        choice.listEnds();
+    }
+
+    private void arrival(Fields f) {
+        int type = f.index("Priority");
+        if (type < 0 || type >= types) {
+            throw new Malformed("Arrival: no traffic type " + type);
+        }
+        long bits = f.index("StateBits");
+        Span hint = Span.ofMillis((bits & 1) != 0 ? f.number("ExpectedMs", 0) : 0);
+        choice.arrived(f.whole("Ref"), type, f.index("Owner"), hint, f.number("Width", 1),
+                f.number("RamUnits", 0), Span.ofMillis(f.number("PatienceLeftMs", 0)));
+    }
+
+    private void load(Fields f) {
+        if (f.load != null) {
+            choice.reported(f.whole("Worker"),
+                    freeSlots == null ? Double.NaN : f.load.number(freeSlots, Double.NaN),
+                    f.load.number("depth", Double.NaN), f.load.number("concurrent", Double.NaN),
+                    freeMemory == null ? Double.NaN : f.load.number(freeMemory, Double.NaN));
+        }
+    }
+
+    private static Outcome outcome(String code) {
+        return switch (code) {
+            case "S" -> Outcome.FINISHED;
+            case "E" -> Outcome.ERRED;
+            case "F" -> Outcome.FULL;
+            case "T" -> Outcome.TIMED_OUT;
+            case "C" -> Outcome.NO_CONNECTION;
+            case "R" -> Outcome.BROKEN;
+            case "X" -> Outcome.CALLED_OFF;
+            case "N" -> Outcome.NOT_SENT;
+            default -> throw new Malformed("Ended: unknown Disposition " + code);
+        };
+    }
+
+    /** Pulls the decisions one by one; a fault of the module becomes one whole message. */
+    void answer(Reply out) {
+        out.who = who;
+        if (fault == null) {
+            try {
+                while (choice.next(out)) {
+                    continue;
+                }
+            } catch (java.io.UncheckedIOException e) {
+                throw e;
+            } catch (RuntimeException e) {
+                fault = "deciding: " + e;
+            }
+        }
+        if (fault != null) {
+            out.bailOut(fault);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/drill/SettingsReader.java
@@ -0,0 +1,181 @@
+package rampshift.drill;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rampshift.decide.Settings;
+import rampshift.decide.TrafficType;
+import rampshift.time.Span;
+
+/** Reads the settings of an instance; unknown ones are ignored, absent ones keep the wire's meaning. */
+final class SettingsReader {
+    private final Map<String, Object> root;
+
+    SettingsReader(JsonParser in) throws IOException {
+        root = object(in);
+    }
+
+    Settings read(long seed) {
+        Settings s = new Settings();
+        s.seed = seed;
+        Map<String, Object> limits = part("Limits");
+        Map<String, Object> rules = part("Rules");
+        Map<String, Object> costs = part("Costs");
+        Map<String, Object> family = part("FamilyInfo");
+        Map<String, Object> load = part("LoadInfo");
+        s.me = (int) number(root, "Me", 0);
+        s.dispatchers = (int) Math.max(1, number(root, "PeersTotal", 1));
+        s.zone = (int) number(root, "Zone", 0);
+        s.tick = span(root, "GranularityMs", 1);
+        s.mostAssignments = (int) need(limits, "Limits", "MostAssignments");
+        s.mayProbe = flag(limits, "MayProbe");
+        s.mayCancel = flag(limits, "Cancel");
+        s.secondCopies = flag(limits, "SecondCopies");
+        s.comeBackAdvice = flag(limits, "RetryAfter");
+        s.longestComeBack = span(limits, "MaxRetryAfterMs", 0);
+        s.listOnRequest = "on_request".equals(root.get("Discovery"));
+        s.tellsStart = flag(family, "TellsStart");
+        s.progressEvery = span(family, "ProgressMs", 0);
+        s.reportsOnProbe = "on_probe".equals(load.get("How"));
+        s.earningsByWork = "work".equals(root.get("EarningsBy"));
+        s.excessEarnings = number(root, "ExcessEarnings", 1);
+        s.crossingPrice = number(costs, "CrossZone", 0);
+        s.wastePrice = number(costs, "Waste", 0);
+        s.probePrice = number(costs, "Probe", 0);
+        s.stopSendingWithin = span(rules, "StopSendingWithinMs", 0);
+        s.askWithin = span(rules, "AskWithinMs", 0);
+        s.coldFrom = number(rules, "ColdFrom", 1);
+        s.coldFor = span(rules, "ColdMs", 0);
+        s.tipMultiple = number(rules, "TipMultiple", 1);
+        s.tipSpan = span(rules, "FallMs", 0);
+        List<Object> types = list(root, "TrafficTypes");
+        if (types.isEmpty()) {
+            throw new Malformed("the settings lack TrafficTypes");
+        }
+        for (int i = 0; i < types.size(); i++) {
+            Map<String, Object> row = map(types.get(i), "TrafficTypes");
+            double stretch = number(row, "AimStretch", at(family, "ClassStretch", i, 0));
+            s.types.add(new TrafficType(number(row, "Earnings", 1), number(row, "TardyEarnings", 0),
+                    Span.ofMillis(need(row, "TrafficTypes", "DueTimeMs")), stretch,
+                    Span.ofMillis(need(row, "TrafficTypes", "ExpiryMs")), effect(row), group(row),
+                    span(row, "WindowMs", 0), (int) at(family, "ClassKind", i, -1)));
+        }
+        for (Object tenant : list(root, "Tenants")) {
+            s.tenantQuotas.add(number(map(tenant, "Tenants"), "QuotaPerS", 0));
+        }
+        return s;
+    }
+
+    /** The place of free slots and free memory among the family's own report values; null where there is none. */
+    String reportOf(String meaning) {
+        Map<String, Object> family = part("FamilyInfo");
+        if (meaning.equals(family.get("ReportX0"))) {
+            return "x0";
+        }
+        return meaning.equals(family.get("ReportX1")) ? "x1" : null;
+    }
+
+    private static TrafficType.Effect effect(Map<String, Object> row) {
+        Object effect = row.get("Effect");
+        if ("safe".equals(effect)) {
+            return TrafficType.Effect.IDEMPOTENT;
+        }
+        return "keyed".equals(effect) ? TrafficType.Effect.FINGERPRINTED : TrafficType.Effect.SIDE_EFFECTING;
+    }
+
+    private static TrafficType.Group group(Map<String, Object> row) {
+        Object group = row.get("DedupScope");
+        if ("all".equals(group)) {
+            return TrafficType.Group.ALL;
+        }
+        return "zone".equals(group) ? TrafficType.Group.ZONE : TrafficType.Group.CELL;
+    }
+
+    private Map<String, Object> part(String name) {
+        Object part = root.get(name);
+        return part == null ? Map.of() : map(part, name);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, Object> map(Object value, String name) {
+        if (value instanceof Map) {
+            return (Map<String, Object>) value;
+        }
+        throw new Malformed("setting " + name + " is not an object");
+    }
+
+    @SuppressWarnings("unchecked")
+    private static List<Object> list(Map<String, Object> from, String name) {
+        Object value = from.get(name);
+        if (value == null) {
+            return List.of();
+        }
+        if (value instanceof List) {
+            return (List<Object>) value;
+        }
+        throw new Malformed("setting " + name + " is not an array");
+    }
+
+    private static double at(Map<String, Object> from, String name, int place, double ifAbsent) {
+        List<Object> values = list(from, name);
+        return place < values.size() && values.get(place) instanceof Number n ? n.doubleValue() : ifAbsent;
+    }
+
+    private static double need(Map<String, Object> from, String where, String name) {
+        if (from.get(name) == null) {
+            throw new Malformed("the settings lack " + where + "." + name);
+        }
+        return number(from, name, 0);
+    }
+
+    private static double number(Map<String, Object> from, String name, double ifAbsent) {
+        Object value = from.get(name);
+        if (value == null) {
+            return ifAbsent;
+        }
+        if (value instanceof Number n) {
+            return n.doubleValue();
+        }
+        throw new Malformed("setting " + name + " is not a number");
+    }
+
+    private static Span span(Map<String, Object> from, String name, double ifAbsent) {
+        return Span.ofMillis(number(from, name, ifAbsent));
+    }
+
+    private static boolean flag(Map<String, Object> from, String name) {
+        return Boolean.TRUE.equals(from.get(name));
+    }
+
+    private static Map<String, Object> object(JsonParser in) throws IOException {
+        Map<String, Object> result = new HashMap<>();
+        while (!in.nextToken().isStructEnd()) {
+            String name = in.currentName();
+            in.nextToken();
+            result.put(name, value(in));
+        }
+        return result;
+    }
+
+    private static Object value(JsonParser in) throws IOException {
+        JsonToken token = in.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            return object(in);
+        }
+        if (token == JsonToken.START_ARRAY) {
+            List<Object> result = new ArrayList<>();
+            while (!in.nextToken().isStructEnd()) {
+                result.add(value(in));
+            }
+            return result;
+        }
+        if (token.isNumeric()) {
+            return in.getDoubleValue();
+        }
+        return token == JsonToken.VALUE_STRING ? in.getText() : token.isBoolean() ? in.getBooleanValue() : null;
+    }
+}
