--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -21,6 +21,7 @@
 public final class Choice {
     // The draw. D candidates of the own zone, and as many from elsewhere.
     private static final int D = 4;
+    private static final double SETUP = 0.3;            // of a mean running time, until samples tell
     private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
     private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share in proportion
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
@@ -51,6 +52,8 @@
     private final Map<Long, Task> tasks = new HashMap<>();         // looked up, never walked
     private final Map<Long, Worker> known = new HashMap<>();       // looked up, never walked
     private final ArrayList<Worker> workers = new ArrayList<>();   // in the order of their ids
+    private final ArrayList<ArrayList<Worker>> sides =             // the ready ones: own zone, elsewhere
+            new ArrayList<>(java.util.List.of(new ArrayList<>(), new ArrayList<>()));
     private final ArrayDeque<Task> todo = new ArrayDeque<>();
     private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers =
@@ -60,6 +63,11 @@
     private final Samples[] work;                                  // running times by traffic type
     private final Samples anyWork = new Samples(64);
     private final Samples earningsAsked = new Samples(64);
+    private final Samples had = new Samples(64);                   // running over expected: object there lately
+    private final Samples hadNot = new Samples(64);
+    private Moment surveyAt;
+    private boolean distrust;
+    private double leastCapacity = 1;
     private double extraSends = 1;
     private List listKind;
     private Moment subscribeAt;
@@ -129,6 +137,13 @@
                 w.ready &= w.listed;
             }
         }
+        sides.get(0).clear();
+        sides.get(1).clear();
+        for (Worker w : workers) {
+            if (w.ready) {
+                sides.get(w.zone == settings.zone ? 0 : 1).add(w);
+            }
+        }
     }
 
     /** A worker that restarted: what was learnt of its former process no longer holds. */
@@ -142,11 +157,12 @@
         w.lastWord = null;
     }
 
-    public void arrived(long id, int type, int tenant, Span hint, double width, double memory, Span patience) {
+    public void arrived(long id, int type, int tenant, String object, Span hint, double width, double memory,
+            Span patience) {
         TrafficType row = settings.types.get(type);
         Moment expiry = now.plus(patience);
         Moment first = expiry.minus(row.expiry()).orEarlier(now);
-        Task t = new Task(id, row, type, hint, Math.max(width, 1), memory, first, expiry);
+        Task t = new Task(id, row, type, object, hint, Math.max(width, 1), memory, first, expiry);
         tasks.put(id, t);
         earningsAsked.put(row.earnings());
         queue(t);
@@ -178,6 +194,7 @@
         w.reported = true;
         w.memoryFree = memoryFree;
         if (!Double.isNaN(free) && !Double.isNaN(held)) {
+            w.roomTold = true;
             if (free > 0.5) {
                 w.room.put(free + held);
             }
@@ -264,6 +281,9 @@
     private void finished(Assignment a) {
         Worker w = a.worker;
         Span ran = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
+        if (a.task.object != null && a.begunAt != null) {
+            (a.had ? had : hadNot).put(ran.millis() * speed(w) / work(a.task).millis());
+        }
         w.expected.put(work(a.task).millis());
         w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
         if (a.begunAt != null) {
@@ -322,13 +342,7 @@
     // ---------------------------------------------------------------- figures
 
     private double chance() {
-        long n = counter++;
-        crc.reset();
-        for (int i = 0; i < 8; i++) {
-            crc.update((int) (settings.seed >>> 8 * i));
-            crc.update((int) (n >>> 8 * i));
-        }
-        return crc.getValue() / 4294967296.0;
+        return mark(settings.seed, counter++) / 4294967296.0;
     }
 
     private Span meanWork() {
@@ -370,7 +384,14 @@
     }
 
     private Span run(Worker w, Task t) {
-        return work(t).times(1 / speed(w));
+        Span run = work(t).times(1 / speed(w));
+        return t.object == null || w.objects.contains(t.object) ? run : run.plus(setup());
+    }
+
+    /** What it costs to fetch an object that the worker does not keep. */
+    private Span setup() {
+        return meanWork().times(had.count() < 16 || hadNot.count() < 16 ? SETUP
+                : Math.max(0, hadNot.mean(0) - had.mean(0)));
     }
 
     private static double ownWidth(Worker w) {
@@ -386,7 +407,7 @@
         for (Assignment a : w.out) {
             begun += a.begunAt != null && !a.calledOff ? a.task.width : 0;
         }
-        double seen = w.room.count() > 0 ? w.room.max(1)
+        double seen = w.room.count() > 0 ? w.roomTold ? w.room.mean(1) : w.room.max(1)
                 : begun + (w.out.isEmpty() ? 1 : 0);
         return Math.max(1, Math.max(Math.rint(seen), begun));
     }
@@ -550,19 +571,63 @@
     /** D random ready workers of the task's kind in the own zone, and D elsewhere. */
     private void draw(Task t) {
         t.drawn.clear();
-        boolean distrust = mostlyAside();
-        for (int side = 0; side < 2; side++) {
-            ArrayList<Worker> pool = new ArrayList<>();
-            for (Worker w : workers) {
-                if ((w.zone == settings.zone) == (side == 0) && w.ready && fits(t, w)
-                        && (distrust || trusted(w, t)) && licence(t, w)) {
-                    pool.add(w);
+        survey();
+        for (ArrayList<Worker> side : sides) {
+            if (t.object != null) {
+                homes(t, side);
+            }
+            int found = 0;
+            for (int i = 0; i < side.size() && found < D; i++) {
+                int j = i + (int) (chance() * (side.size() - i));
+                Worker w = side.get(j);
+                side.set(j, side.get(i));
+                side.set(i, w);
+                if (eligible(t, w) && !t.drawn.contains(w)) {
+                    t.drawn.add(w);
+                    found++;
                 }
             }
-            for (int i = 0; i < D && !pool.isEmpty(); i++) {
-                t.drawn.add(pool.remove((int) (chance() * pool.size())));
+        }
+    }
+
+    private boolean eligible(Task t, Worker w) {
+        return fits(t, w) && (distrust || trusted(w, t)) && licence(t, w);
+    }
+
+    /**
+     * Where tasks carry objects that workers must fetch, chance is taken over the object and the worker, so
+     * that all tasks of an object draw the same few workers at every dispatcher.
+     */
+    private void homes(Task t, ArrayList<Worker> side) {
+        Worker first = null;
+        Worker second = null;
+        long most = -1;
+        long next = -1;
+        for (Worker w : side) {
+            long mark = mark(t.object.hashCode(), w.id);
+            if (mark > next && eligible(t, w)) {
+                boolean top = mark > most;
+                second = top ? first : w;
+                next = top ? most : mark;
+                first = top ? w : first;
+                most = top ? mark : most;
             }
         }
+        if (first != null) {
+            t.drawn.add(first);
+        }
+        if (second != null) {
+            t.drawn.add(second);
+        }
+    }
+
+    private long mark(long a, long b) {
+        crc.reset();
+        for (int i = 0; i < 8; i++) {
+            crc.update((int) (a >>> 8 * i));
+            crc.update((int) (b >>> 8 * i));
+        }
+        return crc.getValue();
     }
 
     private boolean fits(Task t, Worker w) {
@@ -588,17 +653,26 @@
         return false;
     }
 
-    /** When most look bad, the judgement is distrusted rather than the workers. */
-    private boolean mostlyAside() {
+    /** When most look bad, the judgement is distrusted rather than the workers. Looked at now and then. */
+    private void survey() {
+        if (surveyAt != null && now.since(surveyAt).micros() < meanWork().micros() / 4) {
+            return;
+        }
+        surveyAt = now;
         int ready = 0;
         int aside = 0;
+        double least = Double.MAX_VALUE;
         for (Worker w : workers) {
             if (w.ready) {
                 ready++;
                 aside += w.trickle > 0 || silent(w) ? 1 : 0;
+                if (warmth(w) >= 1 && w.room.count() > 0) {
+                    least = Math.min(least, room(w) * speed(w));
+                }
             }
         }
-        return aside * 2 > ready;
+        distrust = aside * 2 > ready;
+        leastCapacity = least == Double.MAX_VALUE ? 1 : least;
     }
 
     /** Probes the candidates whose last word is no longer fresh, and sets the short wait. */
@@ -727,14 +801,7 @@
             w.sentAt.poll();
             w.sentWork.poll();
         }
-        double least = Double.MAX_VALUE;
-        for (Worker o : workers) {
-            if (o.ready && warmth(o) >= 1 && o.room.count() > 0) {
-                least = Math.min(least, room(o) * speed(o));
-            }
-        }
-        least = least == Double.MAX_VALUE ? 1 : least;
-        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * warmth * least
+        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * warmth * leastCapacity
                 / settings.dispatchers);
         Span sum = work(t).times(t.width);
         for (Span s : w.sentWork) {
@@ -746,6 +813,13 @@
     private boolean assign(Task t, Worker w, Decisions out) {
         Span predicted = wait(w, t.width).plus(run(w, t));
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
+        if (t.object != null) {
+            a.had = w.objects.remove(t.object);
+            w.objects.add(t.object);
+            while (w.objects.size() > room(w)) {
+                w.objects.remove(0);
+            }
+        }
         t.sent.add(a);
         t.open++;
         w.out.add(a);
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -10,6 +10,7 @@
     final long id;
     final TrafficType type;
     final int typeNumber;
+    final String object;
     final Span hint;
     final double width;
     final double memory;
@@ -27,11 +28,12 @@
     boolean waiting;
     int open;
 
-    Task(long id, TrafficType type, int typeNumber, Span hint, double width, double memory, Moment firstAt,
-            Moment expiry) {
+    Task(long id, TrafficType type, int typeNumber, String object, Span hint, double width, double memory,
+            Moment firstAt, Moment expiry) {
         this.id = id;
         this.type = type;
         this.typeNumber = typeNumber;
+        this.object = object;
         this.hint = hint;
         this.width = width;
         this.memory = memory;
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -25,7 +25,11 @@
     final Samples others = new Samples(3);
     final Samples room = new Samples(12);
     double memoryFree = Double.NaN;
+    /** Reports tell both free and taken slots. */
+    boolean roomTold;
     boolean reported;
+    /** Objects of the tasks last sent there, the latest last. */
+    final ArrayList<String> objects = new ArrayList<>();
     boolean lastFull;
     boolean probeSilent;
     Moment lastWord;
--- a/src/main/java/rampshift/drill/Instance.java
+++ b/src/main/java/rampshift/drill/Instance.java
@@ -106,7 +106,7 @@
         }
         long bits = f.index("StateBits");
         Span hint = Span.ofMillis((bits & 1) != 0 ? f.number("ExpectedMs", 0) : 0);
-        choice.arrived(f.whole("Ref"), type, f.index("Owner"), hint, f.number("Width", 1),
+        choice.arrived(f.whole("Ref"), type, f.index("Owner"), f.textOrNull("Object"), hint, f.number("Width", 1),
                 f.number("RamUnits", 0), Span.ofMillis(f.number("PatienceLeftMs", 0)));
     }
 
