--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -28,7 +28,10 @@
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
     private static final double TAKE_AT = 0.3;
-    private static final double SPREAD = 0.4;           // how far a prediction is off, in running times
+    private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
+    private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
+    private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
+    private static final double TRIAL = 6;              // mean running times after which an unused worker is tried
     // Probes, in mean running times.
     private static final double FRESH_FOR = 1.0;
     private static final double PROBE_WAIT = 0.1;
@@ -204,7 +207,10 @@
         double all = !Double.isNaN(held) ? held
                 : !Double.isNaN(free) ? room(w) - free + (Double.isNaN(queued) ? 0 : queued)
                 : Double.isNaN(queued) ? 0 : queued;
-        w.others.put(Math.max(0, all - ownWidth(w)));
+        if (w.othersAt == null || now.since(w.othersAt).longerThan(meanWork().times(0.5))) {
+            w.othersAt = now;
+            w.others.put(Math.max(0, all - ownWidth(w)));
+        }
     }
 
     public void echoed(long id, boolean answered) {
@@ -453,9 +459,11 @@
     /** The earnings to be expected from sending the task there now, less the price of crossing. */
     private double value(Task t, Worker w) {
         Span run = run(w, t);
-        Span end = wait(w, t.width).plus(run);
+        Span wait = wait(w, t.width);
+        Span end = wait.plus(run);
         Span allowed = allowed(t);
-        double inTime = 1 / (1 + Math.exp(-allowed.minus(end).over(run.times(SPREAD).orLonger(settings.tick))));
+        double inTime = 1 / (1 + Math.exp(-allowed.minus(end).over(
+                run.times(RUN_SPREAD).plus(wait.times(WAIT_SPREAD)).orLonger(settings.tick))));
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
@@ -540,10 +548,13 @@
         Worker best = null;
         double most = 0;
         for (Worker w : t.drawn) {
-            double value = mayAssign(t, w) ? value(t, w) + (idle(w, t) ? 0.01 * earnings(t) : 0) : 0;
-            if (mayAssign(t, w) && (best == null || value > most)) {
-                best = w;
-                most = value;
+            if (mayAssign(t, w)) {
+                double value = value(t, w);
+                value += value >= GOOD * earnings(t) && idle(w, t) ? earnings(t) : 0;
+                if (best == null || value > most) {
+                    best = w;
+                    most = value;
+                }
             }
         }
         if (best == null || most < TAKE_AT * earnings(t) && mayBounce(t)) {
@@ -560,8 +571,14 @@
     }
 
     private boolean copyPays(Task t, Worker w) {
-        return mayCopy(t) && extraSends >= 1 + RESCUE_RESERVE && idle(w, t) && w.zone == settings.zone
-                && value(t, w) >= 0.5 * earnings(t);
+        if (!mayCopy(t) || w.zone != settings.zone && settings.crossingPrice > 0.1) {
+            return false;
+        }
+        // A worker that nothing went to for a while is tried with a copy: it may have got well again.
+        boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt != null
+                && now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
+        return trial && extraSends >= 1 || extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
+                && value(t, w) >= GOOD * earnings(t);
     }
 
     private boolean mayCopy(Task t) {
@@ -823,6 +840,7 @@
         t.sent.add(a);
         t.open++;
         w.out.add(a);
+        w.triedAt = now;
         if (warmth(w) < 1) {
             w.sentAt.add(now);
             w.sentWork.add(work(t).times(t.width));
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -22,7 +22,9 @@
     /** 1 for each of the last outcomes that was bad. */
     final Samples bad = new Samples(8);
     /** Slots that other dispatchers held, by the last reports. */
-    final Samples others = new Samples(3);
+    final Samples others = new Samples(4);
+    Moment othersAt;
+    Moment triedAt;
     final Samples room = new Samples(12);
     double memoryFree = Double.NaN;
     /** Reports tell both free and taken slots. */
