--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,7 +27,7 @@
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
-    private static final double TAKE_AT = 0.3;
+    private static final double TAKE_AT = 0.5;
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
@@ -456,14 +456,18 @@
         return t.type.earnings();
     }
 
-    /** The earnings to be expected from sending the task there now, less the price of crossing. */
-    private double value(Task t, Worker w) {
+    /** How likely the task is to end in time if it is sent there now. */
+    private double inTime(Task t, Worker w) {
         Span run = run(w, t);
         Span wait = wait(w, t.width);
-        Span end = wait.plus(run);
-        Span allowed = allowed(t);
-        double inTime = 1 / (1 + Math.exp(-allowed.minus(end).over(
-                run.times(RUN_SPREAD).plus(wait.times(WAIT_SPREAD)).orLonger(settings.tick))));
+        Span blur = run.times(RUN_SPREAD).plus(wait.times(WAIT_SPREAD)).orLonger(settings.tick);
+        return 1 / (1 + Math.exp(-allowed(t).minus(wait).minus(run).over(blur)));
+    }
+
+    /** The earnings to be expected from sending the task there now, less the price of crossing. */
+    private double value(Task t, Worker w) {
+        double inTime = inTime(t, w);
+        Span end = wait(w, t.width).plus(run(w, t));
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
@@ -557,7 +561,7 @@
                 }
             }
         }
-        if (best == null || most < TAKE_AT * earnings(t) && mayBounce(t)) {
+        if (best == null || (most <= 0 || inTime(t, best) < TAKE_AT) && mayBounce(t)) {
             return giveUp(t, out);
         }
         for (Worker w : t.drawn) {
