--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,7 +27,7 @@
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
-    private static final double TAKE_AT = 0.5;
+    private static final double TAKE_AT = 0.85;
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
