--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,7 +27,8 @@
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
-    private static final double TAKE_AT = 0.85;
+    private static final double TAKE_AT = 0.5;
+    private static final double QUEUE_AT = 0.7;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
@@ -64,6 +65,7 @@
     private long timerOrder;
     private Moment armed;
     private final Samples[] work;                                  // running times by traffic type
+    private final Samples[] tenants;                               // times of the last arrivals
     private final Samples anyWork = new Samples(64);
     private final Samples earningsAsked = new Samples(64);
     private final Samples had = new Samples(64);                   // running over expected: object there lately
@@ -83,6 +85,10 @@
         for (int i = 0; i < work.length; i++) {
             work[i] = new Samples(32);
         }
+        tenants = new Samples[settings.tenantQuotas.size()];
+        for (int i = 0; i < tenants.length; i++) {
+            tenants[i] = new Samples(32);
+        }
         if (settings.listOnRequest) {
             subscribeAt = now;
             timer(now, null);
@@ -167,6 +173,10 @@
         Moment first = expiry.minus(row.expiry()).orEarlier(now);
         Task t = new Task(id, row, type, object, hint, Math.max(width, 1), memory, first, expiry);
         tasks.put(id, t);
+        if (tenant < tenants.length) {
+            tenants[tenant].put(now.millis());
+            t.excess = excess(tenant);
+        }
         earningsAsked.put(row.earnings());
         queue(t);
         timer(expiry.minus(settings.tick.times(2)), t);
@@ -357,7 +367,21 @@
 
     /** What the task is expected to run on a middling worker. */
     private Span work(Task t) {
-        return t.hint.micros() > 0 ? t.hint : Span.ofMillis(work[t.typeNumber].mean(t.type.due().millis()));
+        return t.hint.micros() > 0 ? t.hint : work(t.typeNumber);
+    }
+
+    private Span work(int type) {
+        return Span.ofMillis(work[type].mean(settings.types.get(type).due().millis()));
+    }
+
+    /** The part of a tenant's tasks that lies beyond its share, all dispatchers taken to see as many. */
+    private double excess(int tenant) {
+        if (tenant >= tenants.length || tenants[tenant].count() < 8) {
+            return 0;
+        }
+        Samples times = tenants[tenant];
+        double rate = 1000.0 * times.count() / (now.millis() - times.oldest()) * settings.dispatchers;
+        return Math.max(0, 1 - settings.tenantQuotas.get(tenant) / rate) * (1 - settings.excessEarnings);
     }
 
     private double warmth(Worker w) {
@@ -561,7 +585,7 @@
                 }
             }
         }
-        if (best == null || (most <= 0 || inTime(t, best) < TAKE_AT) && mayBounce(t)) {
+        if (best == null || mayBounce(t) && (most <= 0 || inTime(t, best) < TAKE_AT || crowds(t, best))) {
             return giveUp(t, out);
         }
         for (Worker w : t.drawn) {
@@ -574,6 +598,31 @@
         return assign(t, best, out);
     }
 
+    /**
+     * A task joins no queue in which a type that earns more for its running time would be late: tasks with
+     * much time left would else fill the workers in a rush. Beyond its tenant's share it queues less still.
+     */
+    private boolean crowds(Task t, Worker w) {
+        Span wait = wait(w, t.width);
+        if (wait.micros() == 0) {
+            return false;
+        }
+        double speed = speed(w);
+        Span limit = t.type.expiry();
+        for (int i = 0; i < work.length; i++) {
+            if (i == t.typeNumber || density(i) >= density(t.typeNumber)) {
+                TrafficType type = settings.types.get(i);
+                limit = limit.orShorter(type.due().plus(work(i).times(type.stretch() - 1 / speed)));
+            }
+        }
+        return wait.longerThan(limit.times(QUEUE_AT * (1 - t.excess)));
+    }
+
+    private double density(int type) {
+        double earnings = settings.types.get(type).earnings();
+        return settings.earningsByWork ? earnings : earnings / work(type).millis();
+    }
+
     private boolean copyPays(Task t, Worker w) {
         if (!mayCopy(t) || w.zone != settings.zone && settings.crossingPrice > 0.1) {
             return false;
--- a/src/main/java/rampshift/decide/Samples.java
+++ b/src/main/java/rampshift/decide/Samples.java
@@ -42,6 +42,10 @@
         return max;
     }
 
+    public double oldest() {
+        return values[count < values.length ? 0 : next];
+    }
+
     public void clear() {
         count = 0;
         next = 0;
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -21,6 +21,8 @@
     final ArrayList<Worker> drawn = new ArrayList<>();
     final ArrayDeque<Worker> toProbe = new ArrayDeque<>();
     final ArrayDeque<Worker> copies = new ArrayDeque<>();
+    /** The part of its earnings that its tenant's traffic beyond the share takes off. */
+    double excess;
     boolean asked;
     int echoesDue;
     Moment probeUntil;
