--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.PriorityQueue;
-import java.util.zip.CRC32;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -28,7 +27,7 @@
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
     private static final double TAKE_AT = 0.5;
-    private static final double QUEUE_AT = 0.7;         // of the wait that would make a denser type late
+    private static final double QUEUE_AT = 1.0;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
@@ -50,14 +49,10 @@
     private record Timer(Moment at, long order, Task task) { }
 
     private final Settings settings;
-    private final CRC32 crc = new CRC32();
-    private long counter;
+    private final Chance chance;
     private Moment now;
     private final Map<Long, Task> tasks = new HashMap<>();         // looked up, never walked
-    private final Map<Long, Worker> known = new HashMap<>();       // looked up, never walked
-    private final ArrayList<Worker> workers = new ArrayList<>();   // in the order of their ids
-    private final ArrayList<ArrayList<Worker>> sides =             // the ready ones: own zone, elsewhere
-            new ArrayList<>(java.util.List.of(new ArrayList<>(), new ArrayList<>()));
+    private final Roster roster;
     private final ArrayDeque<Task> todo = new ArrayDeque<>();
     private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
     private final PriorityQueue<Timer> timers =
@@ -81,6 +76,8 @@
     public Choice(Settings settings, Moment now) {
         this.settings = settings;
         this.now = now;
+        chance = new Chance(settings.seed);
+        roster = new Roster(settings.zone);
         work = new Samples[settings.types.size()];
         for (int i = 0; i < work.length; i++) {
             work[i] = new Samples(32);
@@ -104,15 +101,13 @@
     public void listBegins(List kind) {
         listKind = kind;
         if (kind == List.WHOLE || kind == List.REMEMBERED) {
-            for (Worker w : workers) {
-                w.listed = false;
-            }
+            roster.beginWhole();
         }
         if (kind == List.FAILED) {
             // Spaced out and scattered, so that a restart of all dispatchers does not drown the list service.
             subscribeFailures++;
             subscribeAt = now.plus(settings.askWithin.times(
-                    0.1 * Math.min(4, subscribeFailures) * (0.5 + chance())));
+                    0.1 * Math.min(4, subscribeFailures) * (0.5 + chance.next())));
             timer(subscribeAt, null);
         } else if (kind != List.REMEMBERED) {
             subscribeFailures = 0;
@@ -120,50 +115,11 @@
     }
 
     public void listed(long id, int zone, int cell, int kind, boolean ready, Moment bornAt) {
-        Worker w = known.get(id);
-        if (w == null) {
-            w = new Worker(id);
-            known.put(id, w);
-            int place = 0;
-            while (place < workers.size() && workers.get(place).id < id) {
-                place++;
-            }
-            workers.add(place, w);
-        } else if (bornAt.micros() > 0 && !bornAt.equals(w.bornAt)) {
-            forget(w);
-        }
-        w.zone = zone;
-        w.cell = cell;
-        w.kind = kind;
-        w.ready = ready;
-        w.listed = true;
-        w.bornAt = bornAt;
+        roster.put(id, zone, cell, kind, ready, bornAt);
     }
 
     public void listEnds() {
-        if (listKind == List.WHOLE || listKind == List.REMEMBERED) {
-            for (Worker w : workers) {
-                w.ready &= w.listed;
-            }
-        }
-        sides.get(0).clear();
-        sides.get(1).clear();
-        for (Worker w : workers) {
-            if (w.ready) {
-                sides.get(w.zone == settings.zone ? 0 : 1).add(w);
-            }
-        }
-    }
-
-    /** A worker that restarted: what was learnt of its former process no longer holds. */
-    private void forget(Worker w) {
-        w.expected.clear();
-        w.ran.clear();
-        w.bad.clear();
-        w.others.clear();
-        w.trickle = 0;
-        w.reported = false;
-        w.lastWord = null;
+        roster.end();
     }
 
     public void arrived(long id, int type, int tenant, String object, Span hint, double width, double memory,
@@ -200,7 +156,7 @@
     }
 
     public void reported(long id, double free, double queued, double held, double memoryFree) {
-        Worker w = known.get(id);
+        Worker w = roster.get(id);
         if (w == null) {
             return;
         }
@@ -219,12 +175,12 @@
                 : Double.isNaN(queued) ? 0 : queued;
         if (w.othersAt == null || now.since(w.othersAt).longerThan(meanWork().times(0.5))) {
             w.othersAt = now;
-            w.others.put(Math.max(0, all - ownWidth(w)));
+            w.others.put(Math.max(0, all - w.ownWidth()));
         }
     }
 
     public void echoed(long id, boolean answered) {
-        Worker w = known.get(id);
+        Worker w = roster.get(id);
         if (w == null) {
             return;
         }
@@ -357,10 +313,6 @@
 
     // ---------------------------------------------------------------- figures
 
-    private double chance() {
-        return mark(settings.seed, counter++) / 4294967296.0;
-    }
-
     private Span meanWork() {
         return Span.ofMillis(anyWork.mean(settings.types.get(0).due().millis()));
     }
@@ -424,26 +376,15 @@
                 : Math.max(0, hadNot.mean(0) - had.mean(0)));
     }
 
-    private static double ownWidth(Worker w) {
-        double sum = 0;
-        for (Assignment a : w.out) {
-            sum += a.calledOff ? 0 : a.task.width;
-        }
-        return sum;
-    }
-
     private double room(Worker w) {
-        double begun = 0;
-        for (Assignment a : w.out) {
-            begun += a.begunAt != null && !a.calledOff ? a.task.width : 0;
-        }
+        double begun = w.begunWidth();
         double seen = w.room.count() > 0 ? w.roomTold ? w.room.mean(1) : w.room.max(1)
                 : begun + (w.out.isEmpty() ? 1 : 0);
         return Math.max(1, Math.max(Math.rint(seen), begun));
     }
 
     private double held(Worker w) {
-        return ownWidth(w) + w.others.mean(0);
+        return w.ownWidth() + w.others.mean(0);
     }
 
     /** How long a task of this width is expected to wait there before it begins. */
@@ -642,13 +583,13 @@
     private void draw(Task t) {
         t.drawn.clear();
         survey();
-        for (ArrayList<Worker> side : sides) {
+        for (ArrayList<Worker> side : roster.sides) {
             if (t.object != null) {
                 homes(t, side);
             }
             int found = 0;
             for (int i = 0; i < side.size() && found < D; i++) {
-                int j = i + (int) (chance() * (side.size() - i));
+                int j = i + (int) (chance.next() * (side.size() - i));
                 Worker w = side.get(j);
                 side.set(j, side.get(i));
                 side.set(i, w);
@@ -674,7 +615,7 @@
         long most = -1;
         long next = -1;
         for (Worker w : side) {
-            long mark = mark(t.object.hashCode(), w.id);
+            long mark = chance.mark(t.object.hashCode(), w.id);
             if (mark > next && eligible(t, w)) {
                 boolean top = mark > most;
                 second = top ? first : w;
@@ -691,15 +632,6 @@
         }
     }
 
-    private long mark(long a, long b) {
-        crc.reset();
-        for (int i = 0; i < 8; i++) {
-            crc.update((int) (a >>> 8 * i));
-            crc.update((int) (b >>> 8 * i));
-        }
-        return crc.getValue();
-    }
-
     private boolean fits(Task t, Worker w) {
         return t.type.kind() < 0 || t.type.kind() == w.kind;
     }
@@ -732,7 +664,7 @@
         int ready = 0;
         int aside = 0;
         double least = Double.MAX_VALUE;
-        for (Worker w : workers) {
+        for (Worker w : roster.all) {
             if (w.ready) {
                 ready++;
                 aside += w.trickle > 0 || silent(w) ? 1 : 0;
@@ -914,7 +846,7 @@
         close(t);
         if (bounce) {
             out.bounce(t.id, settings.comeBackAdvice
-                    ? meanWork().times(1 + chance()).orShorter(settings.longestComeBack) : Span.ZERO);
+                    ? meanWork().times(1 + chance.next()).orShorter(settings.longestComeBack) : Span.ZERO);
         } else {
             out.abandon(t.id);
         }
--- /dev/null
+++ b/src/main/java/rampshift/decide/Roster.java
@@ -0,0 +1,62 @@
+package rampshift.decide;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rampshift.time.Moment;
+
+/** The workers that this dispatcher's own lists have named. */
+final class Roster {
+    /** All of them, in the order of their ids. */
+    final ArrayList<Worker> all = new ArrayList<>();
+    /** The ready ones: those of the own zone, and those elsewhere. */
+    final List<ArrayList<Worker>> sides = List.of(new ArrayList<>(), new ArrayList<>());
+    private final Map<Long, Worker> byId = new HashMap<>();   // looked up, never walked
+    private final int ownZone;
+
+    Roster(int ownZone) {
+        this.ownZone = ownZone;
+    }
+
+    Worker get(long id) {
+        return byId.get(id);
+    }
+
+    /** A whole list follows: what it does not name is gone. */
+    void beginWhole() {
+        for (Worker w : all) {
+            w.ready = false;
+        }
+    }
+
+    void put(long id, int zone, int cell, int kind, boolean ready, Moment bornAt) {
+        Worker w = byId.get(id);
+        if (w == null) {
+            w = new Worker(id);
+            byId.put(id, w);
+            int place = 0;
+            while (place < all.size() && all.get(place).id < id) {
+                place++;
+            }
+            all.add(place, w);
+        } else if (bornAt.micros() > 0 && !bornAt.equals(w.bornAt)) {
+            w.forget();
+        }
+        w.zone = zone;
+        w.cell = cell;
+        w.kind = kind;
+        w.ready = ready;
+        w.bornAt = bornAt;
+    }
+
+    void end() {
+        sides.get(0).clear();
+        sides.get(1).clear();
+        for (Worker w : all) {
+            if (w.ready) {
+                sides.get(w.zone == ownZone ? 0 : 1).add(w);
+            }
+        }
+    }
+}
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -12,7 +12,6 @@
     int cell;
     int kind;
     boolean ready;
-    boolean listed;
     Moment bornAt = new Moment(0);
     /** Assignments still out there, those called off included until their end is heard. */
     final ArrayList<Assignment> out = new ArrayList<>();
@@ -48,4 +47,33 @@
     Worker(long id) {
         this.id = id;
     }
+
+    /** It restarted: what was learnt of its former process no longer holds. */
+    void forget() {
+        expected.clear();
+        ran.clear();
+        bad.clear();
+        others.clear();
+        objects.clear();
+        trickle = 0;
+        reported = false;
+        lastWord = null;
+    }
+
+    /** Slots that this dispatcher's own assignments take or wait for. */
+    double ownWidth() {
+        double sum = 0;
+        for (Assignment a : out) {
+            sum += a.calledOff ? 0 : a.task.width;
+        }
+        return sum;
+    }
+
+    double begunWidth() {
+        double sum = 0;
+        for (Assignment a : out) {
+            sum += a.begunAt != null && !a.calledOff ? a.task.width : 0;
+        }
+        return sum;
+    }
 }
