--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -22,7 +22,7 @@
     private static final int D = 4;
     private static final double SETUP = 0.3;            // of a mean running time, until samples tell
     private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
-    private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share in proportion
+    private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
@@ -30,8 +30,8 @@
     private static final double QUEUE_AT = 1.0;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
-    private static final double GOOD = 0.5;             // of a task's earnings: an idle candidate that will do
-    private static final double TRIAL = 6;              // mean running times after which an unused worker is tried
+    private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
+    private static final double TRIAL = 6;              // mean runs after which an unused worker is tried
     // Probes, in mean running times.
     private static final double FRESH_FOR = 1.0;
     private static final double PROBE_WAIT = 0.1;
@@ -40,7 +40,7 @@
     private static final int BAD_LEAST = 2;
     private static final double SILENCE = 4;            // predicted spans without a word
     private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
-    private static final double OVERDUE = 2;            // running times after which a running task counts as slow
+    private static final double OVERDUE = 2;            // runs after which a running task counts as slow
     private static final double COLD_SHARE = 0.5;       // of the cold budget that is ever used
 
     /** How a list of workers came. */
@@ -63,7 +63,7 @@
     private final Samples[] tenants;                               // times of the last arrivals
     private final Samples anyWork = new Samples(64);
     private final Samples earningsAsked = new Samples(64);
-    private final Samples had = new Samples(64);                   // running over expected: object there lately
+    private final Samples had = new Samples(64); // running over expected: object was there
     private final Samples hadNot = new Samples(64);
     private Moment surveyAt;
     private boolean distrust;
@@ -576,7 +576,8 @@
     }
 
     private boolean mayCopy(Task t) {
-        return settings.mayCancel && settings.secondCopies && t.type.effect() != TrafficType.Effect.SIDE_EFFECTING;
+        return settings.mayCancel && settings.secondCopies
+                && t.type.effect() != TrafficType.Effect.SIDE_EFFECTING;
     }
 
     /** D random ready workers of the task's kind in the own zone, and D elsewhere. */
@@ -648,7 +649,8 @@
     private boolean silent(Worker w) {
         for (Assignment a : w.out) {
             Span quiet = now.since(w.lastWord != null && a.sentAt.before(w.lastWord) ? w.lastWord : a.sentAt);
-            if (!a.calledOff && quiet.longerThan(a.predicted.times(SILENCE).orLonger(settings.progressEvery.times(1.5)))) {
+            Span most = a.predicted.times(SILENCE).orLonger(settings.progressEvery.times(1.5));
+            if (!a.calledOff && quiet.longerThan(most)) {
                 return true;
             }
         }
@@ -715,8 +717,8 @@
                 open = a;
                 Span age = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
                 boolean late = a.begunAt != null ? age.longerThan(run(a.worker, t).times(OVERDUE))
-                        : age.longerThan(a.predicted.times(OVERDUE)) || wait(a.worker, 0).plus(run(a.worker, t))
-                        .longerThan(allowed);
+                        : age.longerThan(a.predicted.times(OVERDUE))
+                        || wait(a.worker, 0).plus(run(a.worker, t)).longerThan(allowed);
                 stuck &= late || silent(a.worker);
             }
         }
@@ -793,7 +795,7 @@
         return true;
     }
 
-    /** Rule 4: this dispatcher's part of what a cold worker may be sent in any window of the stated length. */
+    /** Rule 4: this dispatcher's part of what a cold worker may be sent in any window of that length. */
     private boolean coldRoom(Task t, Worker w) {
         double warmth = warmth(w);
         if (warmth >= 1) {
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -15,7 +15,7 @@
     Moment bornAt = new Moment(0);
     /** Assignments still out there, those called off included until their end is heard. */
     final ArrayList<Assignment> out = new ArrayList<>();
-    /** Of the last finished assignments: what they were expected to run on a middling worker, and what they ran. */
+    /** Of the last finished assignments: what a middling worker would have run, and what they ran. */
     final Samples expected = new Samples(12);
     final Samples ran = new Samples(12);
     /** 1 for each of the last outcomes that was bad. */
