A cold worker gets what it has shown it can do; new workers get a trial copy

Cause, seen on the valle incident with an enlarged fleet and traffic doubled: 100 new workers held 3 to 5 tasks each while old ones held 50, as the cold budget took the weakest worker of the fleet as its measure for a minute.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -41,6 +41,7 @@
     private static final double SILENCE = 4;            // predicted spans without a word
     private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
     private static final double OVERDUE = 2;            // runs after which a running task counts as slow
+    private static final int SHOWN = 4;                 // finished tasks that tell what a cold worker can do
     private static final double COLD_SHARE = 0.5;       // of the cold budget that is ever used
 
     /** How a list of workers came. */
@@ -569,8 +570,8 @@
             return false;
         }
         // A worker that nothing went to for a while is tried with a copy: it may have got well again.
-        boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt != null
-                && now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
+        boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt == null
+                || now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
         return trial && extraSends >= 1 || extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
                 && value(t, w) >= GOOD * earnings(t);
     }
@@ -805,8 +806,12 @@
             w.sentAt.poll();
             w.sentWork.poll();
         }
-        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * warmth * leastCapacity
-                / settings.dispatchers);
+        // At least what the weakest warm worker could do as cold as this one; more once it has shown more.
+        double capacity = warmth * leastCapacity;
+        if (w.ran.count() >= SHOWN) {
+            capacity = Math.max(capacity, COLD_SHARE * room(w) * speed(w));
+        }
+        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * capacity / settings.dispatchers);
         Span sum = work(t).times(t.width);
         for (Span s : w.sentWork) {
             sum = sum.plus(s);
