--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,6 +27,7 @@
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
     private static final double TAKE_AT = 0.5;
+    private static final double FETCH = 1.0;            // of the earnings: a fetch as long as a mean run
     private static final double QUEUE_AT = 1.0;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
@@ -368,7 +369,11 @@
 
     private Span run(Worker w, Task t) {
         Span run = work(t).times(1 / speed(w));
-        return t.object == null || w.objects.contains(t.object) ? run : run.plus(setup());
+        return has(t, w) ? run : run.plus(setup());
+    }
+
+    private static boolean has(Task t, Worker w) {
+        return t.object == null || w.objects.contains(t.object);
     }
 
     /** What it costs to fetch an object that the worker does not keep. */
@@ -437,7 +442,9 @@
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
-        return earnings(t) * well * (inTime + (1 - inTime) * late) - cross
+        // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
+        double fetch = has(t, w) ? 0 : FETCH * setup().over(meanWork());
+        return earnings(t) * (well * (inTime + (1 - inTime) * late) - fetch) - cross
                 - 0.02 * earnings(t) * Math.min(5, end.over(t.type.due()));
     }
 
@@ -572,7 +579,7 @@
         // A worker that nothing went to for a while is tried with a copy: it may have got well again.
         boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt == null
                 || now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
-        return trial && extraSends >= 1 || extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
+        return trial && extraSends >= 1 || has(t, w) && extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
                 && value(t, w) >= GOOD * earnings(t);
     }
 
