--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -255,15 +255,16 @@
     private void finished(Assignment a) {
         Worker w = a.worker;
         Span ran = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
-        if (a.task.object != null && a.begunAt != null) {
-            (a.had ? had : hadNot).put(ran.millis() * speed(w) / work(a.task).millis());
-        }
-        w.expected.put(work(a.task).millis());
-        w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
         if (a.begunAt != null) {
+            if (a.task.object != null) {
+                (a.had ? had : hadNot).put(ran.millis() * speed(w) / work(a.task).millis());
+            }
+            // First, so that a type's first task does not make its worker look many times as fast or slow.
             work[a.task.typeNumber].put(ran.millis());
             anyWork.put(ran.millis());
         }
+        w.expected.put(work(a.task).millis());
+        w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
         judge(w, false);
     }
 
--- /dev/null
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -0,0 +1,351 @@
+package rampshift.decide;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import rampshift.time.Span;
+
+class ChoiceTest {
+    private static final int IDEMPOTENT = 0;
+    private static final int FINGERPRINTED = 1;
+    private static final int SIDE_EFFECTING = 2;
+
+    // ---- the mechanism
+
+    @Test
+    void copiesGoToIdleCandidatesAndTheFirstFinishCancelsTheRest() {
+        Host host = new Host().fleet(4).train(SIDE_EFFECTING, 40, 50);
+        long id = host.task(IDEMPOTENT);
+        assertTrue(host.count("assign " + id + " ") >= 2, "budget saved up: more than one copy");
+        host.begun(id, 0).after(50).ended(id, 0, Outcome.FINISHED);
+        assertEquals(host.count("assign " + id + " ") - 1, host.count("cancel " + id + " "));
+    }
+
+    @Test
+    void extraSendsStayUnderTheBudget() {
+        Host host = new Host().fleet(6).train(IDEMPOTENT, 200, 50);
+        assertTrue(host.count("assign") > 200, "copies are sent");
+        assertTrue(host.count("assign") <= 200 + 200 / 5 + 1, "no more than a fifth of first sends");
+    }
+
+    @Test
+    void dearWasteShrinksTheBudget() {
+        Host host = new Host();
+        host.settings.wastePrice = 0.5;
+        host.fleet(6).train(IDEMPOTENT, 200, 50);
+        assertTrue(host.count("assign") <= 200 + 200 / 5 / 5, "a tenth of the fifth");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"false,true", "true,false"})
+    void noCopiesWhereCancelsOrSecondCopiesAreNotAllowed(boolean cancel, boolean copies) {
+        Host host = new Host();
+        host.settings.mayCancel = cancel;
+        host.settings.secondCopies = copies;
+        host.fleet(6).train(IDEMPOTENT, 50, 50);
+        assertEquals(50, host.count("assign"));
+    }
+
+    @Test
+    void anIdleCandidateTakesTheTaskBeforeABusyOne() {
+        Host host = new Host().fleet(3).free(1, 4).free(2, 4).free(3, 4);
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 9; i++) {
+            used.add(host.worker(host.task(SIDE_EFFECTING), 0));
+        }
+        assertEquals(Set.of(1L, 2L, 3L), used);
+    }
+
+    @Test
+    void whereThereIsNoReportIdleMeansNothingOfOursThere() {
+        Host host = new Host().fleet(2);
+        assertNotEquals(host.worker(host.task(SIDE_EFFECTING), 0), host.worker(host.task(SIDE_EFFECTING), 0));
+    }
+
+    @Test
+    void aProbeIsAskedAndSilenceMeansBusy() {
+        Host host = new Host();
+        host.settings.mayProbe = true;
+        host.settings.reportsOnProbe = true;
+        host.fleet(2);
+        long id = host.task(SIDE_EFFECTING);
+        assertEquals(2, host.count("probe"));
+        assertEquals(0, host.count("assign"));
+        host.choice().reported(2, 3, Double.NaN, Double.NaN, Double.NaN);
+        host.choice().echoed(2, true);
+        host.pull().after(15);
+        assertEquals(2, host.worker(id, 0), "worker 1 kept silent");
+    }
+
+    @Test
+    void tasksOfAnObjectGoWhereItIs() {
+        Host host = new Host().fleet(8);
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            long id = host.task(SIDE_EFFECTING, "tree", 0);
+            used.add(host.worker(id, 0));
+            host.begun(id, 0).after(40).ended(id, 0, Outcome.FINISHED);
+        }
+        assertEquals(1, used.size(), "every other worker would have to fetch it");
+    }
+
+    @Test
+    void theSameInputGivesTheSameOutput() {
+        assertEquals(new Host().fleet(5).train(IDEMPOTENT, 50, 30).said,
+                new Host().fleet(5).train(IDEMPOTENT, 50, 30).said);
+    }
+
+    // ---- rule 1: one final answer, in time
+
+    @Test
+    void aTaskThatNobodyAnswersIsAbandonedBeforeItsExpiry() {
+        Host host = new Host().fleet(1);
+        long id = host.task(SIDE_EFFECTING);
+        host.after(4990);
+        assertEquals(0, host.count("abandon"));
+        host.after(9);
+        assertEquals(1, host.count("abandon " + id + " "));
+        host.ended(id, 0, Outcome.TIMED_OUT).after(50);
+        assertEquals(1, host.count("abandon"));
+        assertEquals(1, host.count("assign"));
+    }
+
+    @Test
+    void nothingIsSentAfterTheClientLeft() {
+        Host host = new Host().fleet(2);
+        long id = host.task(IDEMPOTENT);
+        int sent = host.count("assign");
+        host.choice().clientLeft(id);
+        host.pull().ended(id, 0, Outcome.ERRED).after(6000);
+        assertEquals(sent, host.count("assign"));
+        assertEquals(0, host.count("bounce") + host.count("abandon"));
+    }
+
+    @Test
+    void anEmptyListBouncesAtOnceWithATimeToComeBack() {
+        Host host = new Host().fleet(0);
+        long id = host.task(SIDE_EFFECTING);
+        assertEquals(1, host.count("bounce " + id + " later"));
+    }
+
+    @Test
+    void oddEventsChangeNothing() {
+        Host host = new Host().fleet(2);
+        long id = host.task(SIDE_EFFECTING);
+        host.begun(99, 0).begun(id, 7).ended(99, 0, Outcome.FINISHED).ended(id, -1, Outcome.ERRED);
+        host.choice().echoed(77, true);
+        host.choice().reported(77, 1, 1, 1, 1);
+        host.choice().progressed(id, 9, 0.5);
+        host.ended(id, 0, Outcome.FINISHED).ended(id, 0, Outcome.ERRED).after(10);
+        assertEquals(1, host.count("assign"));
+    }
+
+    // ---- rule 2: no effect twice
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, mode = EnumSource.Mode.EXCLUDE, names = {"FINISHED", "NOT_SENT"})
+    void aSideEffectingTaskGoesAgainOnlyWhenItNeverRan(Outcome outcome) {
+        Host host = new Host().fleet(4);
+        long id = host.task(SIDE_EFFECTING);
+        host.ended(id, 0, outcome);
+        assertEquals(outcome.neverRan ? 2 : 1, host.count("assign " + id + " "));
+        assertEquals(outcome.neverRan ? 0 : 1, host.count("abandon " + id + " "));
+        assertEquals(0, host.count("bounce"));
+    }
+
+    @Test
+    void aFingerprintedTaskStaysInItsGroup() {
+        Host host = new Host().fleet(8);
+        long id = host.task(FINGERPRINTED);
+        host.ended(id, 0, Outcome.ERRED);
+        assertEquals((host.worker(id, 0) + 1) / 2, (host.worker(id, 1) + 1) / 2);
+    }
+
+    @Test
+    void aFingerprintedTaskIsNotSentAgainAfterItsWindow() {
+        Host host = new Host().fleet(8);
+        long id = host.task(FINGERPRINTED);
+        host.begun(id, 0);
+        host.after(1100).ended(id, 0, Outcome.BROKEN);
+        assertTrue(host.said.stream().filter(s -> s.startsWith("assign " + id)).count() <= 2);
+        assertEquals(1, host.count("abandon " + id + " "), "it may have run, and a bounce is no longer lawful");
+    }
+
+    @Test
+    void anIdempotentTaskGoesAgainAfterAnErrorAndAssignmentsAreLimited() {
+        Host host = new Host().fleet(8);
+        long id = host.task(IDEMPOTENT);
+        for (int n = 0; n < 6; n++) {
+            host.ended(id, n, Outcome.ERRED);
+        }
+        assertTrue(host.count("assign " + id + " ") > 1);
+        assertTrue(host.count("assign " + id + " ") <= host.settings.mostAssignments);
+        assertEquals(1, host.count("bounce " + id + " "));
+    }
+
+    // ---- rule 3: drains
+
+    @Test
+    void nothingNewGoesToAWorkerThatDrainsOrLeftTheList() {
+        Host host = new Host().fleet(3).change(2, false, 0);
+        for (int i = 0; i < 20; i++) {
+            assertNotEquals(2, host.worker(host.task(SIDE_EFFECTING), 0));
+        }
+        host.choice().listBegins(Choice.List.WHOLE);
+        host.choice().listed(3, 0, 2, 0, true, host.choiceBorn());
+        host.choice().listEnds();
+        long id = host.task(SIDE_EFFECTING);
+        assertTrue(host.worker(id, 0) == 3 || host.worker(id, 0) == -1);
+    }
+
+    @Test
+    void aLostSubscriptionIsAskedForAgainSpacedOutAndInTime() {
+        Host host = new Host();
+        host.settings.listOnRequest = true;
+        host.settings.askWithin = Span.ofMillis(10_000);
+        host.fleet(2);
+        assertEquals(1, host.count("subscribe"));
+        host.choice().listBegins(Choice.List.FAILED);
+        host.choice().listEnds();
+        host.pull().after(100);
+        assertEquals(1, host.count("subscribe"), "not at once");
+        host.after(9000);
+        assertEquals(2, host.count("subscribe"));
+    }
+
+    // ---- rule 4: cold workers
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 4})
+    void aColdWorkerGetsOnlyThisDispatchersPartOfItsBudget(int dispatchers) {
+        Host host = new Host();
+        host.settings.coldFrom = 0.2;
+        host.settings.coldFor = Span.ofMillis(20_000);
+        host.settings.tipMultiple = 4;
+        host.settings.tipSpan = Span.ofMillis(1000);
+        host.settings.dispatchers = dispatchers;
+        host.fleet(0).change(1, true, host.now() - 1);
+        for (int i = 0; i < 50; i++) {
+            host.task(IDEMPOTENT);
+        }
+        // Half of 4 x 0.2 x one slot x 1 s, split over the dispatchers, in tasks of 100 ms.
+        assertTrue(host.count("assign") <= 4 / dispatchers, "sent " + host.count("assign"));
+    }
+
+    // ---- failures met
+
+    @Test
+    void aFastErringWorkerIsSetAsideAndComesBackThroughATrickle() {
+        Host host = new Host().fleet(3).train(IDEMPOTENT, 40, 50);
+        for (int i = 0; i < 60; i++) {
+            long id = host.task(IDEMPOTENT);
+            for (int n = 0; host.worker(id, n) >= 0; n++) {
+                host.ended(id, n, host.worker(id, n) == 1 ? Outcome.ERRED : Outcome.CALLED_OFF);
+            }
+            host.after(5);
+        }
+        int before = host.said.size();
+        for (int i = 0; i < 20; i++) {
+            assertNotEquals(1, host.worker(host.task(SIDE_EFFECTING), 0), "set aside");
+        }
+        for (int i = 0; i < 20; i++) {
+            host.ended(host.taskCount() - i, 0, Outcome.FINISHED);
+        }
+        host.after(2000).train(IDEMPOTENT, 200, 50);
+        assertTrue(host.said.subList(before, host.said.size()).stream()
+                .anyMatch(s -> s.startsWith("assign") && s.endsWith(" 1")), "tried again");
+    }
+
+    @Test
+    void aSilentWorkerIsNotUsedAndItsIdempotentTaskIsRescued() {
+        Host host = new Host().fleet(4).train(SIDE_EFFECTING, 40, 50);
+        for (int i = 0; i < 4; i++) {
+            host.free(i + 1, 2);
+        }
+        long side = host.task(SIDE_EFFECTING);
+        long hung = host.worker(side, 0);
+        host.after(900);
+        for (int i = 0; i < 20; i++) {
+            long id = host.task(SIDE_EFFECTING);
+            assertNotEquals(hung, host.worker(id, 0));
+            host.begun(id, 0).after(50).ended(id, 0, Outcome.FINISHED);
+        }
+        assertEquals(1, host.count("assign " + side + " "), "may have run: never sent again");
+    }
+
+    @Test
+    void anUnbegunIdempotentTaskIsMovedToAnIdleWorker() {
+        Host host = new Host().fleet(4).train(IDEMPOTENT, 100, 50);
+        long id = host.task(IDEMPOTENT);
+        int first = host.count("assign " + id + " ");
+        host.after(70).after(70);
+        assertTrue(host.count("assign " + id + " ") > first, "another assignment");
+        assertTrue(host.count("cancel " + id + " ") >= 1, "the place in the queue is freed");
+    }
+
+    @Test
+    void aQueueThatWouldMakeATaskLateBouncesIt() {
+        Host host = new Host().fleet(1).train(SIDE_EFFECTING, 30, 100);
+        host.free(1, 1);
+        for (int i = 0; i < 30; i++) {
+            host.task(IDEMPOTENT);
+        }
+        assertTrue(host.count("bounce") >= 20, "one slot cannot take them");
+        assertTrue(host.count("assign") > 30, "some are taken");
+    }
+
+    @Test
+    void tasksWithMuchTimeLeftDoNotFillTheQueueThatADenserTypeNeeds() {
+        Host host = new Host();
+        host.settings.types.add(new TrafficType(0.01, 0, Span.ofMillis(4000), 3, Span.ofMillis(5000),
+                TrafficType.Effect.SIDE_EFFECTING, TrafficType.Group.ALL, Span.ZERO, -1));
+        host.fleet(1).train(SIDE_EFFECTING, 30, 100).train(4, 10, 100).free(1, 1);
+        for (int i = 0; i < 30; i++) {
+            host.task(4);
+        }
+        assertTrue(host.count("bounce") >= 20, "4 s of its own slack do not count");
+    }
+
+    @Test
+    void aTenantBeyondItsShareQueuesLess() {
+        int[] bounced = new int[2];
+        for (int tenant = 0; tenant < 2; tenant++) {
+            Host host = new Host();
+            host.settings.excessEarnings = 0.1;
+            host.settings.tenantQuotas.add(1000.0);
+            host.settings.tenantQuotas.add(1.0);
+            host.fleet(1).train(SIDE_EFFECTING, 30, 100).free(1, 2);
+            for (int i = 0; i < 30; i++) {
+                host.after(1).task(IDEMPOTENT, null, tenant);
+            }
+            bounced[tenant] = host.count("bounce");
+        }
+        assertTrue(bounced[1] > bounced[0], bounced[0] + " and " + bounced[1]);
+    }
+
+    @Test
+    void aDearCrossingIsMadeOnlyWhenTheOwnZoneWouldBeLate() {
+        Host host = new Host();
+        host.settings.crossingPrice = 0.2;
+        host.choice().listBegins(Choice.List.REMEMBERED);
+        host.choice().listed(1, 0, 1, 0, true, host.choiceBorn());
+        host.choice().listed(2, 1, 2, 0, true, host.choiceBorn());
+        host.choice().listEnds();
+        host.pull().free(1, 2).free(2, 2);
+        assertEquals(1, host.worker(host.task(SIDE_EFFECTING), 0));
+        long last = 0;
+        for (int i = 0; i < 8; i++) {
+            last = host.task(SIDE_EFFECTING);
+        }
+        assertFalse(host.said.stream().noneMatch(s -> s.startsWith("assign") && s.endsWith(" 2")), "task " + last);
+    }
+}
