--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -819,7 +819,8 @@
         if (w.ran.count() >= SHOWN) {
             capacity = Math.max(capacity, COLD_SHARE * room(w) * speed(w));
         }
-        Span budget = settings.tipSpan.times(COLD_SHARE * settings.tipMultiple * capacity / settings.dispatchers);
+        double part = COLD_SHARE * settings.tipMultiple / settings.dispatchers;
+        Span budget = settings.tipSpan.times(part * capacity);
         Span sum = work(t).times(t.width);
         for (Span s : w.sentWork) {
             sum = sum.plus(s);
--- a/src/main/java/rampshift/drill/Drill.java
+++ b/src/main/java/rampshift/drill/Drill.java
@@ -33,7 +33,8 @@
                 out.write(drill.reply(line));
                 out.flush();
             } catch (JsonProcessingException | Malformed e) {
-                String what = e instanceof JsonProcessingException j ? j.getOriginalMessage() : e.getMessage();
+                String what = e instanceof JsonProcessingException j
+                        ? j.getOriginalMessage() : e.getMessage();
                 err.println("rampshift drill: line " + number + ": " + what.replace('\n', ' '));
                 return 1;
             }
--- a/src/main/java/rampshift/drill/Fields.java
+++ b/src/main/java/rampshift/drill/Fields.java
@@ -36,7 +36,7 @@
                 load = new Fields();
                 load.read(in);
             } else if (token.isNumeric()) {
-                put(name, token == JsonToken.VALUE_NUMBER_INT ? (Object) whole(in, name) : in.getDoubleValue());
+                put(name, token == JsonToken.VALUE_NUMBER_INT ? whole(in) : (Object) in.getDoubleValue());
             } else if (token == JsonToken.VALUE_STRING) {
                 put(name, in.getText());
             } else if (token.isBoolean()) {
@@ -48,8 +48,9 @@
         }
     }
 
-    private static Object whole(JsonParser in, String name) throws IOException {
-        return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER ? (Object) in.getDoubleValue() : in.getLongValue();
+    private static Object whole(JsonParser in) throws IOException {
+        boolean tooLong = in.getNumberType() == JsonParser.NumberType.BIG_INTEGER;
+        return tooLong ? (Object) in.getDoubleValue() : (Object) in.getLongValue();
     }
 
     private void put(String name, Object value) {
--- a/src/main/java/rampshift/drill/Instance.java
+++ b/src/main/java/rampshift/drill/Instance.java
@@ -51,7 +51,8 @@
 
     private static boolean known(String what) {
         return switch (what) {
-            case "Attach", "Fleet", "Arrival", "UnderWay", "Note", "Ended", "Hangup", "Wakeup", "Echo", "NoteFrom" -> true;
+            case "Attach", "Fleet", "Arrival", "UnderWay", "Note", "Ended", "Hangup", "Wakeup", "Echo",
+                    "NoteFrom" -> true;
             default -> false;
         };
     }
@@ -70,7 +71,8 @@
             }
             case "Ended" -> {
                 load(f);
-                choice.ended(f.whole("Ref"), (int) f.whole("Try"), outcome(f.text("Disposition")), f.flag("Terminal"));
+                choice.ended(f.whole("Ref"), (int) f.whole("Try"), outcome(f.text("Disposition")),
+                        f.flag("Terminal"));
             }
             case "Hangup" -> choice.clientLeft(f.whole("Ref"));
             case "Echo" -> {
@@ -106,8 +108,8 @@
         }
         long bits = f.index("StateBits");
         Span hint = Span.ofMillis((bits & 1) != 0 ? f.number("ExpectedMs", 0) : 0);
-        choice.arrived(f.whole("Ref"), type, f.index("Owner"), f.textOrNull("Object"), hint, f.number("Width", 1),
-                f.number("RamUnits", 0), Span.ofMillis(f.number("PatienceLeftMs", 0)));
+        choice.arrived(f.whole("Ref"), type, f.index("Owner"), f.textOrNull("Object"), hint,
+                f.number("Width", 1), f.number("RamUnits", 0), Span.ofMillis(f.number("PatienceLeftMs", 0)));
     }
 
     private void load(Fields f) {
--- a/src/main/java/rampshift/drill/SettingsReader.java
+++ b/src/main/java/rampshift/drill/SettingsReader.java
@@ -70,7 +70,7 @@
         return s;
     }
 
-    /** The place of free slots and free memory among the family's own report values; null where there is none. */
+    /** The name of the report value with this meaning, or null where there is none. */
     String reportOf(String meaning) {
         Map<String, Object> family = part("FamilyInfo");
         if (meaning.equals(family.get("ReportX0"))) {
@@ -176,6 +176,9 @@
         if (token.isNumeric()) {
             return in.getDoubleValue();
         }
-        return token == JsonToken.VALUE_STRING ? in.getText() : token.isBoolean() ? in.getBooleanValue() : null;
+        if (token == JsonToken.VALUE_STRING) {
+            return in.getText();
+        }
+        return token.isBoolean() ? in.getBooleanValue() : null;
     }
 }
--- /dev/null
+++ b/src/test/java/rampshift/drill/DrillTest.java
@@ -0,0 +1,76 @@
+package rampshift.drill;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** A few lines of wire through the adapter. */
+class DrillTest {
+    private static final String ATTACH = "{\"SimTimeMs\":1000,\"news\":[{\"t\":\"Attach\",\"Who\":\"dispatcher/0\","
+            + "\"Seed\":5,\"Setup\":{\"Odd\":[1,{\"x\":null}],\"Limits\":{\"MostAssignments\":3},\"TrafficTypes\":"
+            + "[{\"DueTimeMs\":100,\"ExpiryMs\":1000,\"Effect\":\"unsafe\",\"Earnings\":1}]}},"
+            + "{\"t\":\"Fleet\",\"Who\":\"dispatcher/0\",\"Serial\":1,\"How\":\"cached\",\"Entries\":"
+            + "[{\"Worker\":9,\"Site\":0,\"Availability\":\"IN\",\"Pod\":0,\"Nominal\":1,\"Machine\":0}]}]}\n";
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream err = new ByteArrayOutputStream();
+
+    private int play(String lines) throws IOException {
+        return Drill.run(new ByteArrayInputStream(lines.getBytes(StandardCharsets.UTF_8)), out, new PrintStream(err));
+    }
+
+    private static String batch(String event) {
+        return "{\"SimTimeMs\":1010,\"news\":[" + event + "]}\n";
+    }
+
+    @Test
+    void aTaskIsPlacedAndAnEmptyBatchGetsAnEmptyReply() throws IOException {
+        int status = play(ATTACH + batch("") + batch("{\"t\":\"Arrival\",\"Who\":\"dispatcher/0\","
+                + "\"Ref\":2337017823924676,\"Priority\":0,\"Width\":1,\"PatienceLeftMs\":1000.5,\"New\":true}"));
+        String[] replies = out.toString(StandardCharsets.UTF_8).split("\n");
+        assertEquals(0, status);
+        assertEquals("{\"cmds\":[]}", replies[1]);
+        assertTrue(replies[2].startsWith("{\"cmds\":[{\"t\":\"Place\",\"Who\":\"dispatcher/0\","
+                + "\"Ref\":2337017823924676,\"Worker\":9,\"TimeoutMs\":0.0}"), replies[2]);
+        assertEquals(3, replies.length);
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {
+        "no JSON", "[]", "{\"news\":[]}", "{\"SimTimeMs\":1}", "{\"SimTimeMs\":\"x\",\"news\":[]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"Who\":\"dispatcher/0\"}]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"t\":\"Nonsense\",\"Who\":\"dispatcher/0\"}]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"t\":\"Wakeup\",\"Who\":\"dispatcher/4\",\"Name\":1}]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"t\":\"Arrival\",\"Who\":\"dispatcher/0\",\"Ref\":\"a\"}]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"t\":\"Hangup\",\"Who\":\"dispatcher/0\"}]}",
+        "{\"SimTimeMs\":1,\"news\":[{\"t\":\"Attach\",\"Who\":\"dispatcher/1\",\"Seed\":1,\"Setup\":{}}]}",
+        "{\"SimTimeMs\":1,\"news\":[", "{\"SimTimeMs\":1,\"news\":[7]}",
+    })
+    void badInputIsNamedOnOneLineAndEndsTheRun(String line) throws IOException {
+        assertEquals(1, play(ATTACH + line + "\n"));
+        String said = err.toString(StandardCharsets.UTF_8);
+        assertTrue(said.startsWith("rampshift drill: line 2: "), said);
+        assertEquals(said.length() - 1, said.indexOf('\n'), "one plain line");
+        assertEquals(1, out.toString(StandardCharsets.UTF_8).split("\n").length, "no half reply");
+    }
+
+    @Test
+    void aMissingSettingIsNamed() throws IOException {
+        play("{\"SimTimeMs\":1,\"news\":[{\"t\":\"Attach\",\"Who\":\"dispatcher/1\",\"Seed\":1,\"Setup\":{}}]}\n");
+        assertTrue(err.toString(StandardCharsets.UTF_8).contains("the settings lack Limits.MostAssignments"));
+    }
+
+    @Test
+    void aRetiredInstanceIsForgottenAndOthersGoOn() throws IOException {
+        assertEquals(0, play(ATTACH + batch("{\"t\":\"Wakeup\",\"Who\":\"dispatcher/0\",\"Name\":0},"
+                + "{\"t\":\"Retire\",\"Who\":\"dispatcher/0\"}")));
+        assertEquals("{\"cmds\":[]}", out.toString(StandardCharsets.UTF_8).split("\n")[1]);
+    }
+}
