--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -20,6 +20,8 @@
 public final class Choice {
     // The draw. D candidates of the own zone, and as many from elsewhere.
     private static final int D = 4;
+    private static final int HOMES = 2;                 // candidates that an object's tasks share
+    private static final int DRAWS = 3;                 // draws until one is left for a bounce
     private static final double SETUP = 0.3;            // of a mean running time, until samples tell
     private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
     private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share
@@ -209,7 +211,7 @@
         a.neverRan = outcome.neverRan;
         w.out.remove(a);
         t.open--;
-        w.lastFull = outcome == Outcome.FULL;
+        w.fullAt = outcome == Outcome.FULL ? now : w.fullAt;
         if (outcome == Outcome.FINISHED) {
             finished(a);
         } else if (outcome == Outcome.ERRED || outcome == Outcome.NO_CONNECTION || outcome == Outcome.BROKEN
@@ -222,8 +224,7 @@
         if (terminal) {
             close(t);
         } else if (!t.closed && t.open == 0) {
-            t.drawn.clear();
-            t.asked = false;
+            newDraw(t);
             queue(t);
         }
         if (t.closed && t.open == 0) {
@@ -417,17 +418,13 @@
         if (w.reported) {
             return held(w) + t.width <= room(w) + 0.25 && !(w.memoryFree < t.memory);
         }
-        return w.out.isEmpty() && !w.lastFull;
+        return w.out.isEmpty() && (w.fullAt == null || w.fullAt.before(w.lastWord));
     }
 
     private Span allowed(Task t) {
         return t.firstAt.plus(t.type.due()).plus(work(t).times(t.type.stretch())).since(now);
     }
 
-    private double earnings(Task t) {
-        return t.type.earnings();
-    }
-
     /** How likely the task is to end in time if it is sent there now. */
     private double inTime(Task t, Worker w) {
         Span run = run(w, t);
@@ -445,8 +442,8 @@
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
         // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
         double fetch = has(t, w) ? 0 : FETCH * setup().over(meanWork());
-        return earnings(t) * (well * (inTime + (1 - inTime) * late) - fetch) - cross
-                - 0.02 * earnings(t) * Math.min(5, end.over(t.type.due()));
+        return t.type.earnings() * (well * (inTime + (1 - inTime) * late) - fetch) - cross
+                - 0.02 * t.type.earnings() * Math.min(5, end.over(t.type.due()));
     }
 
     // ---------------------------------------------------------------- deciding
@@ -528,7 +525,7 @@
         for (Worker w : t.drawn) {
             if (mayAssign(t, w)) {
                 double value = value(t, w);
-                value += value >= GOOD * earnings(t) && idle(w, t) ? earnings(t) : 0;
+                value += value >= GOOD * t.type.earnings() && idle(w, t) ? t.type.earnings() : 0;
                 if (best == null || value > most) {
                     best = w;
                     most = value;
@@ -536,6 +533,11 @@
             }
         }
         if (best == null || mayBounce(t) && (most <= 0 || inTime(t, best) < TAKE_AT || crowds(t, best))) {
+            // In a large fleet a few busy candidates tell little: draw again before bouncing.
+            if (t.draws < DRAWS) {
+                t.asked = false;
+                return place(t, out);
+            }
             return giveUp(t, out);
         }
         for (Worker w : t.drawn) {
@@ -581,7 +583,7 @@
         boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt == null
                 || now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
         return trial && extraSends >= 1 || has(t, w) && extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
-                && value(t, w) >= GOOD * earnings(t);
+                && value(t, w) >= GOOD * t.type.earnings();
     }
 
     private boolean mayCopy(Task t) {
@@ -591,10 +593,10 @@
 
     /** D random ready workers of the task's kind in the own zone, and D elsewhere. */
     private void draw(Task t) {
-        t.drawn.clear();
         survey();
+        t.draws++;
         for (ArrayList<Worker> side : roster.sides) {
-            if (t.object != null) {
+            if (t.object != null && t.draws == 1) {
                 homes(t, side);
             }
             int found = 0;
@@ -611,8 +613,14 @@
         }
     }
 
+    private static void newDraw(Task t) {
+        t.drawn.clear();
+        t.draws = 0;
+        t.asked = false;
+    }
+
     private boolean eligible(Task t, Worker w) {
-        return fits(t, w) && (distrust || trusted(w, t)) && licence(t, w);
+        return (t.type.kind() < 0 || t.type.kind() == w.kind) && (distrust || trusted(w, t)) && licence(t, w);
     }
 
     /**
@@ -620,30 +628,20 @@
      * that all tasks of an object draw the same few workers at every dispatcher.
      */
     private void homes(Task t, ArrayList<Worker> side) {
-        Worker first = null;
-        Worker second = null;
-        long most = -1;
-        long next = -1;
-        for (Worker w : side) {
-            long mark = chance.mark(t.object.hashCode(), w.id);
-            if (mark > next && eligible(t, w)) {
-                boolean top = mark > most;
-                second = top ? first : w;
-                next = top ? most : mark;
-                first = top ? w : first;
-                most = top ? mark : most;
+        for (int n = 0; n < HOMES; n++) {
+            Worker home = null;
+            long most = -1;
+            for (Worker w : side) {
+                long mark = chance.mark(t.object.hashCode(), w.id);
+                if (mark > most && !t.drawn.contains(w) && eligible(t, w)) {
+                    home = w;
+                    most = mark;
+                }
+            }
+            if (home != null) {
+                t.drawn.add(home);
             }
         }
-        if (first != null) {
-            t.drawn.add(first);
-        }
-        if (second != null) {
-            t.drawn.add(second);
-        }
-    }
-
-    private boolean fits(Task t, Worker w) {
-        return t.type.kind() < 0 || t.type.kind() == w.kind;
     }
 
     private boolean trusted(Worker w, Task t) {
@@ -738,9 +736,10 @@
         if (!stuck || !mayCopy(t) || extraSends < 1) {
             return false;
         }
+        newDraw(t);
         draw(t);
         Worker best = null;
-        double most = 0.5 * earnings(t);
+        double most = GOOD * t.type.earnings();
         for (Worker w : t.drawn) {
             if (w != open.worker && mayAssign(t, w) && idle(w, t) && value(t, w) > most) {
                 best = w;
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -23,6 +23,7 @@
     final ArrayDeque<Worker> copies = new ArrayDeque<>();
     /** The part of its earnings that its tenant's traffic beyond the share takes off. */
     double excess;
+    int draws;
     boolean asked;
     int echoesDue;
     Moment probeUntil;
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -31,7 +31,8 @@
     boolean reported;
     /** Objects of the tasks last sent there, the latest last. */
     final ArrayList<String> objects = new ArrayList<>();
-    boolean lastFull;
+    /** When it last turned a task away. */
+    Moment fullAt;
     boolean probeSilent;
     Moment lastWord;
     Moment probedAt;
