--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -30,6 +30,7 @@
     // Admission: the least part of a task's earnings that must be expected for it to be taken.
     private static final double TAKE_AT = 0.5;
     private static final double FETCH = 1.0;            // of the earnings: a fetch as long as a mean run
+    private static final double DELAY = 1.0;            // of mean earnings: a mean run queued in a long queue
     private static final double QUEUE_AT = 1.0;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
@@ -137,7 +138,7 @@
             tenants[tenant].put(now.millis());
             t.excess = excess(tenant);
         }
-        earningsAsked.put(row.earnings());
+        earningsAsked.put(earnings(t));
         queue(t);
         timer(expiry.minus(settings.tick.times(2)), t);
     }
@@ -425,6 +426,10 @@
         return t.firstAt.plus(t.type.due()).plus(work(t).times(t.type.stretch())).since(now);
     }
 
+    private double earnings(Task t) {
+        return t.type.earnings() * (settings.earningsByWork ? work(t).over(meanWork()) : 1);
+    }
+
     /** How likely the task is to end in time if it is sent there now. */
     private double inTime(Task t, Worker w) {
         Span run = run(w, t);
@@ -436,14 +441,18 @@
     /** The earnings to be expected from sending the task there now, less the price of crossing. */
     private double value(Task t, Worker w) {
         double inTime = inTime(t, w);
-        Span end = wait(w, t.width).plus(run(w, t));
+        Span wait = wait(w, t.width);
+        Span end = wait.plus(run(w, t));
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
         // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
         double fetch = has(t, w) ? 0 : FETCH * setup().over(meanWork());
-        return t.type.earnings() * (well * (inTime + (1 - inTime) * late) - fetch) - cross
-                - 0.02 * t.type.earnings() * Math.min(5, end.over(t.type.due()));
+        // A task that queues delays all behind it, the more the longer it runs and the longer the queue.
+        double delay = DELAY * earningsAsked.mean(1) * work(t).over(meanWork()) * t.width
+                * wait.over(wait.plus(meanWork()));
+        return earnings(t) * (well * (inTime + (1 - inTime) * late) - fetch) - cross - delay
+                - 0.02 * earnings(t) * Math.min(5, end.over(t.type.due()));
     }
 
     // ---------------------------------------------------------------- deciding
@@ -525,7 +534,7 @@
         for (Worker w : t.drawn) {
             if (mayAssign(t, w)) {
                 double value = value(t, w);
-                value += value >= GOOD * t.type.earnings() && idle(w, t) ? t.type.earnings() : 0;
+                value += value >= GOOD * earnings(t) && idle(w, t) ? earnings(t) : 0;
                 if (best == null || value > most) {
                     best = w;
                     most = value;
@@ -583,7 +592,7 @@
         boolean trial = w.out.isEmpty() && (w.trickle > 0 || w.triedAt == null
                 || now.since(w.triedAt).longerThan(meanWork().times(TRIAL)));
         return trial && extraSends >= 1 || has(t, w) && extraSends >= 1 + RESCUE_RESERVE && idle(w, t)
-                && value(t, w) >= GOOD * t.type.earnings();
+                && value(t, w) >= GOOD * earnings(t);
     }
 
     private boolean mayCopy(Task t) {
@@ -739,7 +748,7 @@
         newDraw(t);
         draw(t);
         Worker best = null;
-        double most = GOOD * t.type.earnings();
+        double most = GOOD * earnings(t);
         for (Worker w : t.drawn) {
             if (w != open.worker && mayAssign(t, w) && idle(w, t) && value(t, w) > most) {
                 best = w;
