--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -16,8 +16,8 @@
     /** Assignments still out there, those called off included until their end is heard. */
     final ArrayList<Assignment> out = new ArrayList<>();
     /** Of the last finished assignments: what a middling worker would have run, and what they ran. */
-    final Samples expected = new Samples(12);
-    final Samples ran = new Samples(12);
+    final Samples expected = new Samples(20);
+    final Samples ran = new Samples(20);
     /** 1 for each of the last outcomes that was bad. */
     final Samples bad = new Samples(8);
     /** Slots that other dispatchers held, by the last reports. */
