Six candidates in all, half a side where there are two; excess counts in earnings

Cause: with stale reports (valle) many candidates a side herd, with fresh ones (kl, one zone) few candidates miss idle workers.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -18,8 +18,8 @@
  * The mechanism is Redundant-to-Idle-Queue; docs/design.md tells what was kept, changed and why.
  */
 public final class Choice {
-    // The draw. D candidates of the own zone, and as many from elsewhere.
-    private static final int D = 4;
+    // The draw. D candidates: half of the own zone and half from elsewhere, where there are both.
+    private static final int D = 6;
     private static final int HOMES = 2;                 // candidates that an object's tasks share
     private static final int DRAWS = 3;                 // draws until one is left for a bounce
     private static final double SETUP = 0.3;            // of a mean running time, until samples tell
@@ -427,7 +427,7 @@
     }
 
     private double earnings(Task t) {
-        return t.type.earnings() * (settings.earningsByWork ? work(t).over(meanWork()) : 1);
+        return t.type.earnings() * (settings.earningsByWork ? work(t).over(meanWork()) : 1) * (1 - t.excess);
     }
 
     /** How likely the task is to end in time if it is sent there now. */
@@ -600,7 +600,7 @@
                 && t.type.effect() != TrafficType.Effect.SIDE_EFFECTING;
     }
 
-    /** D random ready workers of the task's kind in the own zone, and D elsewhere. */
+    /** D random ready workers of the task's kind, split between own zone and elsewhere. */
     private void draw(Task t) {
         survey();
         t.draws++;
@@ -608,8 +608,9 @@
             if (t.object != null && t.draws == 1) {
                 homes(t, side);
             }
+            int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
             int found = 0;
-            for (int i = 0; i < side.size() && found < D; i++) {
+            for (int i = 0; i < side.size() && found < most; i++) {
                 int j = i + (int) (chance.next() * (side.size() - i));
                 Worker w = side.get(j);
                 side.set(j, side.get(i));
