--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -36,9 +36,11 @@
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
     private static final double TRIAL = 6;              // mean runs after which an unused worker is tried
-    // Probes, in mean running times.
-    private static final double FRESH_FOR = 1.0;
+    private static final double FRESH_FOR = 1.0;        // mean runs that a word counts as a probe's answer
+    private static final int PROBES = 4;                // answers that tell what others hold at a worker
+    private static final int REPORTS = 8;
     private static final double PROBE_WAIT = 0.1;
+    private static final double RESUBSCRIBE = 0.2;      // of the ask-within span, give or take half
     // Health.
     private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
     private static final int BAD_LEAST = 2;
@@ -76,7 +78,6 @@
     private double extraSends = 1;
     private List listKind;
     private Moment subscribeAt;
-    private int subscribeFailures;
 
     public Choice(Settings settings, Moment now) {
         this.settings = settings;
@@ -110,12 +111,8 @@
         }
         if (kind == List.FAILED) {
             // Spaced out and scattered, so that a restart of all dispatchers does not drown the list service.
-            subscribeFailures++;
-            subscribeAt = now.plus(settings.askWithin.times(
-                    0.1 * Math.min(4, subscribeFailures) * (0.5 + chance.next())));
+            subscribeAt = now.plus(settings.askWithin.times(RESUBSCRIBE * (0.5 + chance.next())));
             timer(subscribeAt, null);
-        } else if (kind != List.REMEMBERED) {
-            subscribeFailures = 0;
         }
     }
 
@@ -393,7 +390,8 @@
     }
 
     private double held(Worker w) {
-        return w.ownWidth() + w.others.mean(0);
+        // Reports in answers are old: a longer mean keeps dispatchers from swinging to a worker in step.
+        return w.ownWidth() + w.others.meanOfLast(settings.reportsOnProbe ? PROBES : REPORTS);
     }
 
     /** How long a task of this width is expected to wait there before it begins. */
@@ -633,10 +631,7 @@
         return (t.type.kind() < 0 || t.type.kind() == w.kind) && (distrust || trusted(w, t)) && licence(t, w);
     }
 
-    /**
-     * Where tasks carry objects that workers must fetch, chance is taken over the object and the worker, so
-     * that all tasks of an object draw the same few workers at every dispatcher.
-     */
+    /** All tasks of an object draw the same few workers at every dispatcher. */
     private void homes(Task t, ArrayList<Worker> side) {
         for (int n = 0; n < HOMES; n++) {
             Worker home = null;
@@ -831,10 +826,15 @@
         double part = COLD_SHARE * settings.tipMultiple / settings.dispatchers;
         Span budget = settings.tipSpan.times(part * capacity);
         Span sum = work(t).times(t.width);
+        // Many dispatchers with small parts would leave it unused: one in a few may send the first task.
+        if (w.sentWork.isEmpty() && (w.lotAt == null || now.since(w.lotAt).longerThan(settings.tipSpan))) {
+            w.lotAt = now;
+            w.lot = Span.ofMillis(budget.millis() / Math.max(chance.next(), 1e-3));
+        }
         for (Span s : w.sentWork) {
             sum = sum.plus(s);
         }
-        return !sum.longerThan(budget);
+        return !sum.longerThan(w.sentWork.isEmpty() ? budget.orLonger(w.lot) : budget);
     }
 
     private boolean assign(Task t, Worker w, Decisions out) {
--- a/src/main/java/rampshift/decide/Samples.java
+++ b/src/main/java/rampshift/decide/Samples.java
@@ -34,6 +34,15 @@
         return count == 0 ? ifNone : sum() / count;
     }
 
+    public double meanOfLast(int most) {
+        int n = Math.min(most, count);
+        double sum = 0;
+        for (int i = 1; i <= n; i++) {
+            sum += values[(next + values.length - i) % values.length];
+        }
+        return n == 0 ? 0 : sum / n;
+    }
+
     public double max(double ifNone) {
         double max = count == 0 ? ifNone : values[0];
         for (int i = 1; i < count; i++) {
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -21,7 +21,7 @@
     /** 1 for each of the last outcomes that was bad. */
     final Samples bad = new Samples(8);
     /** Slots that other dispatchers held, by the last reports. */
-    final Samples others = new Samples(4);
+    final Samples others = new Samples(8);
     Moment othersAt;
     Moment triedAt;
     final Samples room = new Samples(12);
@@ -39,6 +39,9 @@
     /** 0: not set aside; else how many tasks at once it is trusted with, from a moment on. */
     int trickle;
     Moment trickleFrom;
+    /** The lot drawn for a first task in a window while it is cold. */
+    Moment lotAt;
+    Span lot;
     /** Sends while it is cold. */
     final ArrayDeque<Moment> sentAt = new ArrayDeque<>();
     final ArrayDeque<Span> sentWork = new ArrayDeque<>();
