--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -829,7 +829,7 @@
         // Many dispatchers with small parts would leave it unused: one in a few may send the first task.
         if (w.sentWork.isEmpty() && (w.lotAt == null || now.since(w.lotAt).longerThan(settings.tipSpan))) {
             w.lotAt = now;
-            w.lot = Span.ofMillis(budget.millis() / Math.max(chance.next(), 1e-3));
+            w.lot = budget.times(1 / Math.max(chance.next(), 1.0 / settings.dispatchers));
         }
         for (Span s : w.sentWork) {
             sum = sum.plus(s);
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -357,4 +357,63 @@
         }
         assertFalse(host.said.stream().noneMatch(s -> s.startsWith("assign") && s.endsWith(" 2")), "task " + last);
     }
+
+    @Test
+    void aPartTooSmallForOneTaskIsUsedByLot() {
+        int sent = 0;
+        for (int seed = 0; seed < 40; seed++) {
+            Host host = new Host();
+            host.settings.seed = seed;
+            host.settings.coldFrom = 0.5;
+            host.settings.coldFor = Span.ofMillis(20_000);
+            host.settings.tipMultiple = 4;
+            host.settings.tipSpan = Span.ofMillis(1000);
+            host.settings.dispatchers = 40;
+            host.fleet(0).change(1, true, host.now() - 1);
+            for (int i = 0; i < 5; i++) {
+                host.task(IDEMPOTENT);
+            }
+            assertTrue(host.count("assign") <= 1, "one task a window");
+            sent += host.count("assign");
+        }
+        // A fortieth of a second of work is a quarter of one task: about ten of forty dispatchers may send it.
+        assertTrue(sent >= 4 && sent <= 18, "sent " + sent);
+    }
+
+    @Test
+    void aLargeFleetIsDrawnFromAgainBeforeABounce() {
+        Host host = new Host().fleet(18);
+        for (int id = 1; id <= 16; id++) {
+            host.choice().reported(id, 0, 30, Double.NaN, Double.NaN);
+        }
+        for (int i = 0; i < 10; i++) {
+            host.task(SIDE_EFFECTING);
+        }
+        host.after(0);
+        assertTrue(host.count("assign 1 17 ") + host.count("assign 1 18 ") > 0 || host.count("bounce") < 5,
+                "two idle ones among sixteen full ones are found");
+    }
+
+    @Test
+    void aLongTaskDoesNotQueueWhereAShortOneWould() {
+        Host host = new Host();
+        host.settings.types.add(new TrafficType(1, 0, Span.ofMillis(4000), 3, Span.ofMillis(20_000),
+                TrafficType.Effect.SIDE_EFFECTING, TrafficType.Group.ALL, Span.ZERO, -1));
+        host.fleet(1).train(SIDE_EFFECTING, 30, 50).train(4, 3, 1000).free(1, 2);
+        host.task(SIDE_EFFECTING);
+        host.task(SIDE_EFFECTING);
+        long lengthy = host.task(4);
+        long brief = host.task(SIDE_EFFECTING);
+        assertEquals(1, host.count("bounce " + lengthy + " "), "all behind it would be late");
+        assertEquals(1, host.count("assign " + brief + " "));
+    }
+
+    @Test
+    void aTypesFirstFinishDoesNotMakeItsWorkerLookFast() {
+        Host host = new Host().fleet(1).free(1, 1).train(SIDE_EFFECTING, 1, 2);
+        for (int i = 0; i < 30; i++) {
+            host.task(IDEMPOTENT);
+        }
+        assertTrue(host.count("bounce") >= 20, "one slot cannot take them");
+    }
 }
