--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -222,7 +222,7 @@
         if (terminal) {
             close(t);
         } else if (!t.closed && t.open == 0) {
-            newDraw(t);
+            t.newDraw();
             queue(t);
         }
         if (t.closed && t.open == 0) {
@@ -410,14 +410,25 @@
         return wait;
     }
 
+    /** Never heard from: idle with the odds of the other candidates, so that new workers draw no herd. */
     private boolean idle(Worker w, Task t) {
-        if (w.probeSilent) {
-            return false;
+        if (w.heard()) {
+            return heardIdle(w, t);
+        }
+        int heard = 0;
+        int idle = 0;
+        for (Worker o : t.drawn) {
+            heard += o.heard() ? 1 : 0;
+            idle += o.heard() && heardIdle(o, t) ? 1 : 0;
         }
+        return !w.probeSilent && w.out.isEmpty() && t.luck * heard <= idle;
+    }
+
+    private boolean heardIdle(Worker w, Task t) {
         if (w.reported) {
-            return held(w) + t.width <= room(w) + 0.25 && !(w.memoryFree < t.memory);
+            return !w.probeSilent && held(w) + t.width <= room(w) + 0.25 && !(w.memoryFree < t.memory);
         }
-        return w.out.isEmpty() && (w.fullAt == null || w.fullAt.before(w.lastWord));
+        return !w.probeSilent && w.out.isEmpty() && (w.fullAt == null || w.fullAt.before(w.lastWord));
     }
 
     private Span allowed(Task t) {
@@ -601,7 +612,7 @@
     /** D random ready workers of the task's kind, split between own zone and elsewhere. */
     private void draw(Task t) {
         survey();
-        t.draws++;
+        t.luck = t.draws++ == 0 ? chance.next() : t.luck;
         for (ArrayList<Worker> side : roster.sides) {
             if (t.object != null && t.draws == 1) {
                 homes(t, side);
@@ -621,12 +632,6 @@
         }
     }
 
-    private static void newDraw(Task t) {
-        t.drawn.clear();
-        t.draws = 0;
-        t.asked = false;
-    }
-
     private boolean eligible(Task t, Worker w) {
         return (t.type.kind() < 0 || t.type.kind() == w.kind) && (distrust || trusted(w, t)) && licence(t, w);
     }
@@ -741,7 +746,7 @@
         if (!stuck || !mayCopy(t) || extraSends < 1) {
             return false;
         }
-        newDraw(t);
+        t.newDraw();
         draw(t);
         Worker best = null;
         double most = GOOD * earnings(t);
@@ -779,7 +784,7 @@
             if (!a.ended && a.worker == w || t.type.effect() == TrafficType.Effect.SIDE_EFFECTING) {
                 return false;
             }
-            if (t.type.effect() == TrafficType.Effect.FINGERPRINTED && !(sameGroup(t, a.worker, w)
+            if (t.type.effect() == TrafficType.Effect.FINGERPRINTED && !(a.worker.sharesGroup(w, t.type.group())
                     && now.plus(settings.tick.times(2)).before(a.sentAt.plus(t.type.window())))) {
                 return false;
             }
@@ -787,14 +792,6 @@
         return true;
     }
 
-    private static boolean sameGroup(Task t, Worker a, Worker b) {
-        return switch (t.type.group()) {
-            case ALL -> true;
-            case ZONE -> a.zone == b.zone;
-            case CELL -> a.cell == b.cell;
-        };
-    }
-
     private boolean mayBounce(Task t) {
         if (t.type.effect() == TrafficType.Effect.IDEMPOTENT) {
             return true;
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -24,6 +24,8 @@
     /** The part of its earnings that its tenant's traffic beyond the share takes off. */
     double excess;
     int draws;
+    /** Decides whether candidates never heard from count as idle. */
+    double luck;
     boolean asked;
     int echoesDue;
     Moment probeUntil;
@@ -43,4 +45,10 @@
         this.firstAt = firstAt;
         this.expiry = expiry;
     }
+
+    void newDraw() {
+        drawn.clear();
+        draws = 0;
+        asked = false;
+    }
 }
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -64,6 +64,19 @@
         lastWord = null;
     }
 
+    boolean heard() {
+        return reported || lastWord != null;
+    }
+
+    /** Both drop a repeat of what the other has seen. */
+    boolean sharesGroup(Worker other, TrafficType.Group group) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> zone == other.zone;
+            case CELL -> cell == other.cell;
+        };
+    }
+
     /** Slots that this dispatcher's own assignments take or wait for. */
     double ownWidth() {
         double sum = 0;
