--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -784,8 +784,9 @@
             if (!a.ended && a.worker == w || t.type.effect() == TrafficType.Effect.SIDE_EFFECTING) {
                 return false;
             }
-            if (t.type.effect() == TrafficType.Effect.FINGERPRINTED
-                    && !(a.worker.sharesGroup(w, t.type.group()) && now.plus(settings.tick.times(2)).before(a.sentAt.plus(t.type.window())))) {
+            Moment until = a.sentAt.plus(t.type.window()).minus(settings.tick.times(2));
+            boolean inGroup = a.worker.sharesGroup(w, t.type.group()) && now.before(until);
+            if (t.type.effect() == TrafficType.Effect.FINGERPRINTED && !inGroup) {
                 return false;
             }
         }
