A task that does not begin soon queues elsewhere too; the first to begin calls the rest off

Cause: at full size one dispatcher's word on a worker is a minute old; the start note is the only fresh word.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -40,6 +40,7 @@
     private static final int PROBES = 4;                // answers that tell what others hold at a worker
     private static final int REPORTS = 8;
     private static final double PROBE_WAIT = 0.1;
+    private static final double START_BY = 0.3;         // of the due time: not begun by then, it queues
     private static final double RESUBSCRIBE = 0.2;      // of the ask-within span, give or take half
     // Health.
     private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
@@ -145,6 +146,11 @@
         if (a != null && a.begunAt == null) {
             a.begunAt = now;
             word(a.worker);
+            for (Assignment o : a.task.sent) {
+                if (o.begunAt == null) {
+                    callOff(o);     // one has begun: what still queues elsewhere is not needed
+                }
+            }
         }
     }
 
@@ -415,8 +421,7 @@
         if (w.heard()) {
             return heardIdle(w, t);
         }
-        int heard = 0;
-        int idle = 0;
+        int heard = 0, idle = 0;
         for (Worker o : t.drawn) {
             heard += o.heard() ? 1 : 0;
             idle += o.heard() && heardIdle(o, t) ? 1 : 0;
@@ -568,10 +573,7 @@
         return assign(t, best, out);
     }
 
-    /**
-     * A task joins no queue in which a type that earns more for its running time would be late: tasks with
-     * much time left would else fill the workers in a rush. Beyond its tenant's share it queues less still.
-     */
+    /** It joins no queue that makes a denser type late; beyond its tenant's share it queues less still. */
     private boolean crowds(Task t, Worker w) {
         Span wait = wait(w, t.width);
         if (wait.micros() == 0) {
@@ -604,6 +606,11 @@
                 && value(t, w) >= GOOD * earnings(t);
     }
 
+    /** How long an assignment may be out before a start note is missed: it queues, or is lost. */
+    private Span patience(Assignment a) {
+        return settings.tellsStart ? a.task.type.due().times(START_BY) : a.predicted.times(OVERDUE);
+    }
+
     private boolean mayCopy(Task t) {
         return settings.mayCancel && settings.secondCopies
                 && t.type.effect() != TrafficType.Effect.SIDE_EFFECTING;
@@ -680,8 +687,7 @@
             return;
         }
         surveyAt = now;
-        int ready = 0;
-        int aside = 0;
+        int ready = 0, aside = 0;
         double least = Double.MAX_VALUE;
         for (Worker w : roster.all) {
             if (w.ready) {
@@ -701,8 +707,7 @@
         if (!settings.mayProbe) {
             return;
         }
-        Span fresh = meanWork().times(FRESH_FOR);
-        Span wait = meanWork().times(PROBE_WAIT);
+        Span fresh = meanWork().times(FRESH_FOR), wait = meanWork().times(PROBE_WAIT);
         for (Worker w : t.drawn) {
             boolean pending = w.probedAt != null && now.since(w.probedAt).micros() < wait.micros()
                     && !w.asking.isEmpty();
@@ -734,15 +739,14 @@
                 open = a;
                 Span age = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
                 boolean late = a.begunAt != null ? age.longerThan(run(a.worker, t).times(OVERDUE))
-                        : age.longerThan(a.predicted.times(OVERDUE))
-                        || wait(a.worker, 0).plus(run(a.worker, t)).longerThan(allowed);
+                        : age.longerThan(patience(a));
                 stuck &= late || silent(a.worker);
             }
         }
         if (open == null) {
             return false;
         }
-        timer(now.plus(meanWork().times(0.5)), t);
+        timer(now.plus(open.begunAt == null ? patience(open) : meanWork().times(0.5)).plus(settings.tick), t);
         if (!stuck || !mayCopy(t) || extraSends < 1) {
             return false;
         }
@@ -751,7 +755,7 @@
         Worker best = null;
         double most = GOOD * earnings(t);
         for (Worker w : t.drawn) {
-            if (w != open.worker && mayAssign(t, w) && idle(w, t) && value(t, w) > most) {
+            if (w != open.worker && mayAssign(t, w) && value(t, w) > most) {
                 best = w;
                 most = value(t, w);
             }
@@ -759,9 +763,6 @@
         if (best == null) {
             return false;
         }
-        if (open.begunAt == null) {
-            callOff(open);
-        }
         extraSends--;
         return assign(t, best, out);
     }
@@ -854,7 +855,7 @@
             w.sentWork.add(work(t).times(t.width));
         }
         if (t.copies.isEmpty()) {
-            timer(now.plus(predicted.times(1.2).orShorter(allowed(t).times(0.5)).orLonger(settings.tick)), t);
+            timer(now.plus(patience(a)).plus(settings.tick), t);
         } else {
             t.waiting = true;
             todo.addFirst(t);
