Reports that did not hold are left aside for that part of the tasks; room from list weights

Cause: with late reports every dispatcher rushes to the same workers said to be idle (busiest 12 times the mean); start notes show it: a worker said to be idle by a fresh report that does not begin soon. That part of the tasks is placed by the fleet's mean load, without probes.

--- a/src/main/java/rampshift/decide/Assignment.java
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -15,6 +15,8 @@
     Moment begunAt;
     Moment progressAt;
     double progress;
+    /** Reports said that it would begin at once, and it is not known yet whether they held. */
+    boolean saidIdle;
     boolean ended;
     boolean neverRan;
     boolean calledOff;
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -34,7 +34,6 @@
     private static final double TAKE_AT = 0.5;
     private static final double FETCH = 1.0;            // of the earnings: a fetch as long as a mean run
     private static final double DELAY = 1.0;            // of mean earnings: a mean run queued in a long queue
-    private static final double QUEUE_AT = 1.0;         // of the wait that would make a denser type late
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
@@ -83,6 +82,8 @@
     private final ArrayDeque<String> objects = new ArrayDeque<>(); // of the last tasks
     private Moment surveyAt;
     private boolean distrust;
+    private boolean blind;                     // this task is placed without the reports: they did not hold
+    private final Samples reportsHeld = new Samples(8);
     private double leastCapacity = 1;
     private double extraSends = 1;
     private Moment subscribeAt;
@@ -119,12 +120,10 @@
 
     public void listed(long id, int zone, int cell, int kind, boolean ready, Moment bornAt, double weight) {
         Worker w = roster.put(id, zone, cell, kind, ready, bornAt);
-        if (settings.liveWeights && weight > 0) {
+        w.kin.size = Math.max(w.kin.size, weight);
+        if (settings.liveWeights && weight > 0 && w.kin.room.count() > 0) {
             // The size over 1 + what is held a core: a report of every worker, the same for all dispatchers.
-            w.kin.size = Math.max(w.kin.size, weight);
-            if (w.kin.room.count() > 0) {
-                held(w, (w.kin.size / weight - 1) * room(w));
-            }
+            held(w, (w.kin.size / weight - 1) * room(w));
         }
     }
 
@@ -143,6 +142,9 @@
             tenants[tenant].put(now.millis());
             t.excess = excess(tenant);
         }
+        if (hint.micros() > 0) {
+            anyWork.put(hint.millis());     // every arrival tells, not only the few that finished here
+        }
         earningsAsked.put(earnings(t));
         if (object != null && objects.add(object) && objects.size() > OBJECTS) {
             objects.remove();
@@ -156,6 +158,7 @@
         if (a != null && a.begunAt == null) {
             a.begunAt = now;
             word(a.worker);
+            believe(a, true);
             for (Assignment o : a.task.sent) {
                 if (o.begunAt == null) {
                     callOff(o);     // one has begun: what still queues elsewhere is not needed
@@ -164,6 +167,18 @@
         }
     }
 
+    /** A worker said to be idle began soon, or did not: reports are late, or many rush to the same. */
+    private void believe(Assignment a, boolean soon) {
+        if (a.saidIdle) {
+            a.saidIdle = false;
+            reportsHeld.put(soon ? 1 : 0);
+        }
+    }
+
+    private boolean blind(Task t) {
+        return t.luck > reportsHeld.mean(1);
+    }
+
     public void progressed(long id, int number, double share) {
         Assignment a = assignment(id, number);
         if (a != null) {
@@ -271,7 +286,9 @@
             }
             // First, so that a type's first task does not make its worker look many times as fast or slow.
             work[a.task.typeNumber].put(ran.millis());
-            anyWork.put(ran.millis());
+            if (a.task.hint.micros() == 0) {
+                anyWork.put(ran.millis());
+            }
         }
         w.expected.put(work(a.task).millis());
         w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
@@ -405,9 +422,9 @@
     }
 
     private double room(Worker w) {
-        // Few reports of its own yet: others of its kind tell.
+        // Few reports of its own yet: others of its kind tell, or the weight in the list.
         double begun = w.begunWidth();
-        double seen = w.kin.room.count() == 0 ? begun + (w.out.isEmpty() ? 1 : 0)
+        double seen = w.kin.room.count() == 0 ? Math.max(begun + (w.out.isEmpty() ? 1 : 0), w.kin.size)
                 : !w.roomTold ? Math.max(w.room.max(1), w.kin.room.max(1))
                 : w.room.count() < FEW ? w.kin.room.mean(1) : w.room.mean(1);
         return Math.max(1, Math.max(Math.rint(seen), begun));
@@ -418,7 +435,7 @@
         double tau = meanWork().millis() * AGES;
         double weight = 0.1;
         double sum = weight * fleetLoad[w.zone == settings.zone ? 0 : 1].mean(0) * room(w);
-        for (int i = 0; i < w.others.count(); i++) {
+        for (int i = 0; i < w.others.count() && !blind; i++) {
             double say = OLD_SAY + Math.exp((w.othersWhen.get(i) - now.millis()) / tau);
             weight += say;
             sum += say * w.others.get(i);
@@ -567,6 +584,7 @@
         }
         t.drawn.forEach(w -> w.probeSilent |= w.asking.remove(t));   // silence in the short wait means busy
         t.echoesDue = 0;
+        blind = blind(t);
         Worker best = null;
         double most = 0;
         for (Worker w : t.drawn.subList(0, t.tested)) {
@@ -583,7 +601,7 @@
             t.asked = false;
             return place(t, out);
         }
-        if (best == null || mayBounce(t) && (most <= 0 || inTime(t, best) < TAKE_AT || crowds(t, best))) {
+        if (best == null || mayBounce(t) && (most <= 0 || inTime(t, best) < TAKE_AT)) {
             // In a large fleet a few busy candidates tell little: draw again before bouncing.
             if (t.draws < DRAWS) {
                 t.asked = false;
@@ -601,25 +619,6 @@
         return assign(t, best, out);
     }
 
-    /** It joins no queue that makes a denser type late; beyond its tenant's share it queues less still. */
-    private boolean crowds(Task t, Worker w) {
-        Span wait = wait(w, t.width);
-        double speed = speed(w);
-        Span limit = t.type.expiry();
-        for (int i = 0; i < work.length; i++) {
-            if (i == t.typeNumber || density(i) >= density(t.typeNumber)) {
-                TrafficType type = settings.types.get(i);
-                limit = limit.orShorter(type.due().plus(work(i).times(type.stretch() - 1 / speed)));
-            }
-        }
-        return wait.micros() > 0 && wait.longerThan(limit.times(QUEUE_AT * (1 - t.excess)));
-    }
-
-    private double density(int type) {
-        double earnings = settings.types.get(type).earnings();
-        return settings.earningsByWork ? earnings : earnings / work(type).millis();
-    }
-
     private boolean copyPays(Task t, Worker w) {
         if (!mayCopy(t) || w.zone != settings.zone && settings.crossingPrice > 0.1) {
             return false;
@@ -726,7 +725,7 @@
     private void ask(Task t) {
         int from = t.tested;
         // Live weights of the list tell as much, and cost nothing.
-        boolean probes = settings.mayProbe && !settings.liveWeights;
+        boolean probes = settings.mayProbe && !settings.liveWeights && !blind(t);
         t.tested = probes ? Math.min(from + ASK, t.drawn.size()) : t.drawn.size();
         if (!probes) {
             return;
@@ -759,6 +758,9 @@
         for (Assignment a : t.sent) {
             if (!a.ended && !a.calledOff) {
                 open = a;
+                if (a.begunAt == null && now.since(a.sentAt).longerThan(patience(a))) {
+                    believe(a, false);
+                }
                 Span most = a.begunAt == null ? patience(a) : run(a.worker, t).times(OVERDUE);
                 Moment from = a.begunAt == null ? a.sentAt : a.begunAt;
                 stuck &= now.since(from).longerThan(most) || silent(a.worker);
@@ -844,6 +846,7 @@
     private boolean assign(Task t, Worker w, Decisions out) {
         Span predicted = wait(w, t.width).plus(run(w, t));
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
+        a.saidIdle = w.othersAt != null && idle(w, t) && meanWork().times(AGES).longerThan(now.since(w.othersAt));
         if (t.object != null) {
             a.had = w.keep(t.object, room(w));
         }
