--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -38,7 +38,8 @@
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
     private static final double FRESH_FOR = 1.0;        // mean runs that a word counts as a probe's answer
-    private static final double OLD_SAY = 0.15;
+    private static final double OLD_SAY = 0.15;         // that it keeps at any age
+    private static final double HOLD = 0.8;             // of reports: further draws stay near the homes
     private static final int FEW = 3;                   // reports before a worker's own tell its room
     private static final double AGES = 2;               // mean runs in which a report loses most of its say
     private static final double PROBE_WAIT = 0.1;
@@ -603,11 +604,8 @@
         }
         if (best == null || mayBounce(t) && (most <= 0 || inTime(t, best) < TAKE_AT)) {
             // In a large fleet a few busy candidates tell little: draw again before bouncing.
-            if (t.draws < DRAWS) {
-                t.asked = false;
-                return place(t, out);
-            }
-            return giveUp(t, out);
+            t.asked = t.draws >= DRAWS;
+            return t.asked ? giveUp(t, out) : place(t, out);
         }
         for (Worker w : t.drawn.subList(0, t.tested)) {
             if (w != best && copyPays(t, w)) {
@@ -641,8 +639,9 @@
     private void draw(Task t) {
         survey();
         t.luck = t.draws++ == 0 ? chance.next() : t.luck;
-        if (t.object != null && t.draws == 1 && !roster.ring.isEmpty()) {
+        if (t.object != null && (t.draws == 1 || reportsHeld.mean(1) > HOLD) && !roster.ring.isEmpty()) {
             homes(t);
+            return;
         }
         for (ArrayList<Worker> side : roster.sides) {
             int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
@@ -668,14 +667,15 @@
     private void homes(Task t) {
         double asked = objects.stream().filter(t.object::equals).count() - 1;
         int ready = roster.ring.size();
-        t.homes = (int) Math.max(1, Math.rint(asked / objects.size() * HOME_ROOM * ready));
+        t.homes = (int) Math.min(ready, Math.max(1, Math.rint(asked / objects.size() * HOME_ROOM * ready)));
         t.homesFrom = roster.start(Chance.mark(t.object.hashCode(), 0));
-        // Two of the homes, and the next on the ring, which stands in for them.
-        int[] places = {(int) (chance.next() * t.homes), (int) (chance.next() * t.homes), t.homes};
-        for (int place : places) {
+        // Two of the homes, then the next on the ring, which stand in for them, so that few workers fetch it.
+        for (int i = -2, found = 0; i < ready && found < 4; i++) {
+            int place = i < 0 ? (int) (chance.next() * t.homes) : t.homes + i;
             Worker w = roster.ring.get((t.homesFrom + place) % ready);
             if (!t.drawn.contains(w) && eligible(t, w)) {
                 t.drawn.add(w);
+                found++;
             }
         }
     }
@@ -815,10 +815,9 @@
     }
 
     private boolean mayBounce(Task t) {
-        TrafficType.Effect effect = t.type.effect();
-        return effect == TrafficType.Effect.IDEMPOTENT
-                || effect == TrafficType.Effect.FINGERPRINTED && t.type.group() == TrafficType.Group.ALL
-                || t.sent.stream().allMatch(a -> a.neverRan);
+        return t.type.effect() == TrafficType.Effect.IDEMPOTENT || t.sent.stream().allMatch(a -> a.neverRan)
+                || t.type.effect() == TrafficType.Effect.FINGERPRINTED
+                && t.type.group() == TrafficType.Group.ALL;
     }
 
     /** Rule 4: this dispatcher's part of what a cold worker may be sent in any window of that length. */
@@ -846,7 +845,8 @@
     private boolean assign(Task t, Worker w, Decisions out) {
         Span predicted = wait(w, t.width).plus(run(w, t));
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
-        a.saidIdle = w.othersAt != null && idle(w, t) && meanWork().times(AGES).longerThan(now.since(w.othersAt));
+        a.saidIdle = w.othersAt != null && idle(w, t)
+                && meanWork().times(AGES).longerThan(now.since(w.othersAt));
         if (t.object != null) {
             a.had = w.keep(t.object, room(w));
         }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -91,6 +91,10 @@
         Host host = new Host().fleet(8);
         Set<Long> used = new HashSet<>();
         for (int i = 0; i < 20; i++) {
+            for (int other = 0; other < 12; other++) {
+                long id = host.task(SIDE_EFFECTING, "other" + other, 0);
+                host.begun(id, 0).after(40).ended(id, 0, Outcome.FINISHED);
+            }
             long id = host.task(SIDE_EFFECTING, "tree", 0);
             used.add(host.worker(id, 0));
             host.begun(id, 0).after(40).ended(id, 0, Outcome.FINISHED);
