Dear waste makes running copies count more; a second place in a queue counts once

Cause: where waste is dear the budget of all extra sends shrank sixfold, but a place in a queue that is called off before it begins wastes nothing.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,11 +27,10 @@
     private static final int DRAWS = 3;                 // draws until one is left for a bounce
     private static final double SETUP = 0.3;            // of a mean running time, until samples tell
     private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
-    private static final double CHEAP_WASTE = 0.05;     // a higher price of waste shrinks that share
+    private static final double CHEAP_WASTE = 0.05;     // at a higher price a copy counts as several
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
-    // Admission: the least part of a task's earnings that must be expected for it to be taken.
-    private static final double TAKE_AT = 0.5;
+    private static final double TAKE_AT = 0.5;          // how likely in time a task must be to be taken
     private static final double FETCH = 1.0;            // of the earnings: a fetch as long as a mean run
     private static final double DELAY = 1.0;            // of mean earnings: a mean run queued in a long queue
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
@@ -45,7 +44,6 @@
     private static final double PROBE_WAIT = 0.1;
     private static final double START_BY = 0.3;         // of the due time: not begun by then, it queues
     private static final double RESUBSCRIBE = 0.2;      // of the ask-within span, give or take half
-    // Health.
     private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
     private static final int BAD_LEAST = 2;
     private static final double SILENCE = 4;            // predicted spans without a word
@@ -87,11 +85,13 @@
     private final Samples reportsHeld = new Samples(8);
     private double leastCapacity = 1;
     private double extraSends = 1;
+    private final double copyPrice;     // a copy that runs is waste, a second place in a queue is not
     private Moment subscribeAt;
 
     public Choice(Settings settings, Moment now) {
         this.settings = settings;
         this.now = now;
+        copyPrice = Math.max(1, settings.wastePrice / CHEAP_WASTE);
         chance = new Chance(settings.seed);
         roster = new Roster(settings.zone);
         work = Samples.rows(settings.types.size(), 32);
@@ -556,8 +556,8 @@
         }
         while (!t.copies.isEmpty()) {
             Worker w = t.copies.poll();
-            if (extraSends >= 1 + RESCUE_RESERVE && mayAssign(t, w)) {
-                extraSends--;
+            if (extraSends >= copyPrice + RESCUE_RESERVE && mayAssign(t, w)) {
+                extraSends -= copyPrice;
                 return assign(t, w, out);
             }
         }
@@ -612,8 +612,7 @@
                 t.copies.add(w);
             }
         }
-        extraSends = Math.min(MOST_SAVED, extraSends
-                + EXTRA_SENDS * Math.min(1, CHEAP_WASTE / Math.max(settings.wastePrice, 1e-9)));
+        extraSends = Math.min(MOST_SAVED, extraSends + EXTRA_SENDS);
         return assign(t, best, out);
     }
 
@@ -770,7 +769,8 @@
             return false;
         }
         timer(now.plus(open.begunAt == null ? patience(open) : meanWork().times(0.5)).plus(settings.tick), t);
-        if (!stuck || !mayCopy(t) || extraSends < 1) {
+        double price = open.begunAt == null ? 1 : copyPrice;
+        if (!stuck || !mayCopy(t) || extraSends < price) {
             return false;
         }
         t.newDraw();
@@ -783,7 +783,7 @@
                 most = value(t, w);
             }
         }
-        extraSends -= best == null ? 0 : 1;
+        extraSends -= best == null ? 0 : price;
         return best != null && assign(t, best, out);
     }
 
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -38,11 +38,14 @@
     }
 
     @Test
-    void dearWasteShrinksTheBudget() {
+    void dearWasteShrinksTheBudgetOfCopiesButNotOfPlacesInQueues() {
         Host host = new Host();
         host.settings.wastePrice = 0.5;
         host.fleet(6).train(IDEMPOTENT, 200, 50);
         assertTrue(host.count("assign") <= 200 + 200 / 5 / 5, "a tenth of the fifth");
+        long id = host.task(IDEMPOTENT);
+        host.after(40);
+        assertEquals(2, host.count("assign " + id + " "), "a second place in a queue wastes nothing");
     }
 
     @ParameterizedTest
