--- a/src/main/java/rampshift/decide/Assignment.java
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -10,8 +10,6 @@
     final Worker worker;
     final Moment sentAt;
     final Span predicted;
-    /** The task's object had been sent there lately. */
-    boolean had;
     Moment begunAt;
     Moment progressAt;
     double progress;
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -25,7 +25,7 @@
     private static final int OBJECTS = 64;              // last tasks that tell an object's part of them
     private static final double HOME_ROOM = 2;          // homes an object, in its part of all workers
     private static final int DRAWS = 3;                 // draws until one is left for a bounce
-    private static final double SETUP = 0.3;            // of a mean running time, until samples tell
+    private static final double SETUP = 0.3;            // of a mean running time: a fetch
     private static final double EXTRA_SENDS = 0.2;      // copies and rescues, per first send
     private static final double CHEAP_WASTE = 0.05;     // at a higher price a copy counts as several
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
@@ -42,11 +42,12 @@
     private static final int FEW = 3;                   // reports before a worker's own tell its room
     private static final double AGES = 2;               // mean runs in which a report loses most of its say
     private static final double PROBE_WAIT = 0.1;
-    private static final double START_BY = 0.3;         // of the due time: not begun by then, it queues
+    private static final double START_BY = 0.15;         // of the due time: not begun by then, it queues
     private static final double RESUBSCRIBE = 0.2;      // of the ask-within span, give or take half
     private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
     private static final int BAD_LEAST = 2;
     private static final double SILENCE = 4;            // predicted spans without a word
+    private static final double CUT = 4;                // mean runs until a zone cut off is tried again
     private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
     private static final double OVERDUE = 2;            // runs after which a running task counts as slow
     private static final int SHOWN = 4;                 // finished tasks that tell what a cold worker can do
@@ -76,9 +77,9 @@
     private final Samples anyWork = new Samples(64);
     private final Samples[] fleetLoad = Samples.rows(2, 64);       // of room, own side and elsewhere
     private final Samples earningsAsked = new Samples(64);
-    private final Samples had = new Samples(64); // running over expected: object was there
-    private final Samples hadNot = new Samples(64);
     private final ArrayDeque<String> objects = new ArrayDeque<>(); // of the last tasks
+    private final Samples elsewhere = new Samples(2);              // 1: no connection to another zone
+    private Moment cutUntil;
     private Moment surveyAt;
     private boolean distrust;
     private boolean blind;                     // this task is placed without the reports: they did not hold
@@ -238,6 +239,11 @@
         w.out.remove(a);
         t.open--;
         w.fullAt = outcome == Outcome.FULL ? now : w.fullAt;
+        if (w.zone != settings.zone && (outcome == Outcome.FINISHED || outcome == Outcome.NO_CONNECTION)) {
+            // Two in a row elsewhere without a connection: the zone is cut off, not each of its workers sick.
+            elsewhere.put(outcome == Outcome.FINISHED ? 0 : 1);
+            cutUntil = elsewhere.sum() == 2 ? now.plus(meanWork().times(CUT)) : null;
+        }
         if (outcome == Outcome.FINISHED) {
             finished(a);
         } else if (BAD.contains(outcome)) {
@@ -282,21 +288,13 @@
         Worker w = a.worker;
         Span ran = now.since(a.begunAt != null ? a.begunAt : a.sentAt);
         if (a.begunAt != null) {
-            if (a.task.object != null) {
-                (a.had ? had : hadNot).put(ran.millis() * speed(w) / work(a.task).millis());
-            }
             // First, so that a type's first task does not make its worker look many times as fast or slow.
             work[a.task.typeNumber].put(ran.millis());
             if (a.task.hint.micros() == 0) {
                 anyWork.put(ran.millis());
             }
         }
-        w.expected.put(work(a.task).millis());
-        w.ran.put(Math.max(ran.millis(), settings.tick.millis() / 2));
-        if (warmth(w) >= 1) {
-            w.kin.expected.put(work(a.task).millis());
-            w.kin.ran.put(ran.millis());
-        }
+        w.sawRun(work(a.task).millis(), Math.max(ran.millis(), settings.tick.millis() / 2), warmth(w) >= 1);
         judge(w, false);
     }
 
@@ -418,8 +416,7 @@
 
     /** What it costs to fetch an object that the worker does not keep. */
     private Span setup() {
-        return meanWork().times(had.count() < 16 || hadNot.count() < 16 ? SETUP
-                : Math.max(0, hadNot.mean(0) - had.mean(0)));
+        return meanWork().times(SETUP);
     }
 
     private double room(Worker w) {
@@ -680,7 +677,7 @@
     }
 
     private boolean trusted(Worker w, Task t) {
-        if (silent(w)) {
+        if (silent(w) || w.zone != settings.zone && cutUntil != null && now.before(cutUntil)) {
             return false;
         }
         return w.trickle == 0 || t.type.effect() != TrafficType.Effect.SIDE_EFFECTING
@@ -848,7 +845,7 @@
         a.saidIdle = w.othersAt != null && idle(w, t)
                 && meanWork().times(AGES).longerThan(now.since(w.othersAt));
         if (t.object != null) {
-            a.had = w.keep(t.object, room(w));
+            w.keep(t.object, room(w));
         }
         t.sent.add(a);
         t.open++;
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -80,20 +80,28 @@
         }
     }
 
+    void sawRun(double expectedMs, double ranMs, boolean warm) {
+        expected.put(expectedMs);
+        ran.put(ranMs);
+        if (warm) {
+            kin.expected.put(expectedMs);
+            kin.ran.put(ranMs);
+        }
+    }
+
     void sawOthers(Moment now, double held) {
         othersAt = now;
         othersWhen.put(now.millis());
         others.put(held);
     }
 
-    /** Keeps the object in mind as there, the latest so many; tells whether it already was. */
-    boolean keep(String object, double most) {
-        boolean had = objects.remove(object);
+    /** Keeps the object in mind as there, the latest so many. */
+    void keep(String object, double most) {
+        objects.remove(object);
         objects.add(object);
         while (objects.size() > most) {
             objects.remove(0);
         }
-        return had;
     }
 
     /** The work sent while it is cold, within the last span. */
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -414,6 +414,31 @@
         assertFalse(host.said.stream().noneMatch(s -> s.startsWith("assign") && s.endsWith(" 2")), "task " + last);
     }
 
+    @Test
+    void aZoneThatIsCutOffIsLeftAloneAndTriedAgainLater() {
+        Host host = new Host();
+        host.choice().listBegins(Choice.List.REMEMBERED);
+        for (int id = 1; id <= 12; id++) {
+            host.choice().listed(id, 1, id, 0, true, host.choiceBorn(), 1);
+        }
+        host.choice().listEnds();
+        host.pull().train(SIDE_EFFECTING, 20, 50);
+        long lost = host.task(SIDE_EFFECTING);
+        host.ended(lost, 0, Outcome.NO_CONNECTION).ended(lost, 1, Outcome.NO_CONNECTION);
+        host.choice().listBegins(Choice.List.CHANGES);
+        host.choice().listed(13, 0, 13, 0, true, host.choiceBorn(), 1);
+        host.choice().listEnds();
+        for (int i = 0; i < 3; i++) {
+            assertEquals(13, host.worker(host.task(SIDE_EFFECTING), 0), "only the own zone is reached");
+        }
+        host.after(5000);
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            used.add(host.worker(host.task(SIDE_EFFECTING), 0));
+        }
+        assertTrue(used.size() > 1, "tried again");
+    }
+
     @Test
     void aPartTooSmallForOneTaskIsUsedByLot() {
         int sent = 0;
