--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -669,7 +669,8 @@
         for (int i = -2, found = 0; i < ready && found < 4; i++) {
             int place = i < 0 ? (int) (chance.next() * t.homes) : t.homes + i;
             Worker w = roster.ring.get((t.homesFrom + place) % ready);
-            if (!t.drawn.contains(w) && eligible(t, w)) {
+            // After a growth many homes are cold: the next on the ring stands in, not a worker without room.
+            if (!t.drawn.contains(w) && eligible(t, w) && coldRoom(t, w)) {
                 t.drawn.add(w);
                 found++;
             }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -125,6 +125,24 @@
         assertTrue(much.size() > 10, "in number to its part of the tasks: " + much);
     }
 
+    @Test
+    void coldHomesWithoutRoomInTheirBudgetLeaveTheirPlaceToTheNextOnTheRing() {
+        Host host = new Host();
+        host.settings.coldFrom = 0.1;
+        host.settings.coldFor = Span.ofMillis(5000);
+        host.settings.tipSpan = Span.ofMillis(10);
+        host.settings.dispatchers = 1000;
+        host.fleet(40).train(SIDE_EFFECTING, 40, 50);
+        for (int id = 1; id <= 37; id++) {
+            host.change(id, true, host.now());
+        }
+        for (int i = 0; i < 10; i++) {
+            long id = host.task(SIDE_EFFECTING, "object" + i, 0);
+            assertTrue(host.worker(id, 0) > 37, "a warm worker is found");
+            host.begun(id, 0).after(40).ended(id, 0, Outcome.FINISHED);
+        }
+    }
+
     @Test
     void liveWeightsOfTheListTellWhichWorkerIsBusy() {
         Host host = new Host();
