--- /dev/null
+++ b/src/main/java/rampshift/clients/Call.java
@@ -0,0 +1,143 @@
+package rampshift.clients;
+
+import io.undertow.server.AbstractServerConnection;
+import io.undertow.server.HttpServerExchange;
+import io.undertow.server.ServerConnection;
+import io.undertow.util.HeaderValues;
+import io.undertow.util.Headers;
+import io.undertow.util.HttpString;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import org.xnio.IoUtils;
+import org.xnio.conduits.StreamSourceConduit;
+
+/** One client that waits for its answer: what it sent, and the one place where it is answered. */
+public final class Call {
+    /** Fields that belong to the connection, or that are written anew. */
+    private static final Set<HttpString> NOT_PASSED_ON = Set.of(Headers.CONNECTION, Headers.KEEP_ALIVE,
+            Headers.PROXY_AUTHENTICATE, Headers.PROXY_AUTHORIZATION, Headers.TE, Headers.TRAILER,
+            Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.CONTENT_LENGTH, Headers.EXPECT);
+
+    private final Door door;
+    private final HttpServerExchange exchange;
+    private final byte[] body;
+    private Runnable gone;
+    private boolean over;
+
+    Call(Door door, HttpServerExchange exchange, byte[] body) {
+        this.door = door;
+        this.exchange = exchange;
+        this.body = body;
+    }
+
+    /** The target as it came, with the query. */
+    public String target() {
+        String query = exchange.getQueryString();
+        return query.isEmpty() ? exchange.getRequestURI() : exchange.getRequestURI() + '?' + query;
+    }
+
+    /** The target's path as it came. */
+    public String path() {
+        return exchange.getRequestURI();
+    }
+
+    public String method() {
+        return exchange.getRequestMethod().toString();
+    }
+
+    public byte[] body() {
+        return body;
+    }
+
+    /** A field's only value, or null where there is none; a field that stands twice counts as absent. */
+    public String field(String name) {
+        HeaderValues values = exchange.getRequestHeaders().get(name);
+        return values == null || values.size() != 1 ? null : values.getFirst();
+    }
+
+    /** Writes out the fields that go on to a worker, but for the one named. */
+    public void passOn(StringBuilder to, String butFor) {
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            HttpString name = values.getHeaderName();
+            if (!NOT_PASSED_ON.contains(name) && !name.toString().equalsIgnoreCase(butFor)) {
+                for (String value : values) {
+                    to.append(name).append(": ").append(value).append("\r\n");
+                }
+            }
+        }
+    }
+
+    /** From now on the client's leaving is looked out for, and told once. */
+    public void onGone(Runnable gone) {
+        this.gone = gone;
+        AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
+        connection.addCloseListener(this::closed);
+        StreamSourceConduit source = connection.getOriginalSourceConduit();
+        // Undertow puts its own listener back once the exchange is over.
+        connection.getChannel().getSourceChannel().setReadListener(c -> peek(connection, source));
+        source.resumeReads();
+    }
+
+    /** Nothing is due from a client that waits: an end is its leaving, bytes are its next call, kept for later. */
+    private void peek(AbstractServerConnection connection, StreamSourceConduit source) {
+        if (over) {
+            source.suspendReads();
+            return;
+        }
+        var buffer = connection.getByteBufferPool().allocate();
+        try {
+            int count = source.read(buffer.getBuffer());
+            if (count > 0) {
+                source.suspendReads();
+                buffer.getBuffer().flip();
+                ((io.undertow.server.protocol.http.HttpServerConnection) connection).ungetRequestBytes(buffer);
+                buffer = null;
+            } else if (count < 0) {
+                IoUtils.safeClose(connection);
+            }
+        } catch (IOException e) {
+            IoUtils.safeClose(connection);
+        } finally {
+            if (buffer != null) {
+                buffer.close();
+            }
+        }
+    }
+
+    private void closed(ServerConnection connection) {
+        if (!over) {
+            over = true;
+            door.done(this, exchange);
+            if (gone != null) {
+                gone.run();
+            }
+        }
+    }
+
+    /** False if the client has gone. The times are in the wire's own form. */
+    public boolean answer(int status, String comeBackAfter, byte[] bytes) {
+        if (over) {
+            return false;
+        }
+        over = true;
+        ((AbstractServerConnection) exchange.getConnection()).getOriginalSourceConduit().suspendReads();
+        door.done(this, exchange);
+        exchange.setStatusCode(status);
+        if (comeBackAfter != null) {
+            exchange.getResponseHeaders().put(Headers.RETRY_AFTER, comeBackAfter);
+        }
+        if (door.stopping()) {
+            exchange.setPersistent(false);
+        }
+        exchange.setResponseContentLength(bytes.length);
+        exchange.getResponseSender().send(ByteBuffer.wrap(bytes));
+        return true;
+    }
+
+    /** A plain word with the status, for people. */
+    public boolean answer(int status, String words) {
+        return answer(status, null, (words + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/connections/Connection.java
@@ -0,0 +1,167 @@
+package rampshift.connections;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import rampshift.time.Moment;
+
+/**
+ * One connection to a worker or to discovery: HTTP/1.1, one exchange at a time, never resent. It is owned
+ * by whoever dialed it, and given back by {@link #close()} alone.
+ *
+ * Undertow's client is not used here: it cannot call a connect off, and does not tell when the last byte of
+ * an exchange was written, which decides whether a task may have run (docs/design.md).
+ */
+public final class Connection {
+    private final Dialer dialer;
+    private final StreamConnection channel;
+    private final AnswerReader reader = new AnswerReader();
+    private ByteBuffer[] toWrite;
+    private boolean written;
+    private Heard heard;
+    private boolean lasting = true;
+    private boolean closed;
+    /** Since when it has been idle; kept for its owner. */
+    public Moment idleSince;
+    /** Called once if it ends while no exchange is on. */
+    Runnable onEnd;
+
+    Connection(Dialer dialer, StreamConnection channel) {
+        this.dialer = dialer;
+        this.channel = channel;
+        channel.getSourceChannel().setReadListener(c -> readable());
+        channel.getSinkChannel().setWriteListener(c -> writable());
+        channel.getSourceChannel().resumeReads();
+    }
+
+    public void onEnd(Runnable told) {
+        onEnd = told;
+    }
+
+    /** Whether another exchange may be tried on it. */
+    public boolean usable() {
+        return !closed && lasting && heard == null;
+    }
+
+    /** Writes it all and reads one answer. */
+    public void exchange(Heard heard, ByteBuffer... message) {
+        this.heard = heard;
+        if (!heard.mayWrite()) {
+            this.heard = null;
+            return;
+        }
+        toWrite = message;
+        written = false;
+        reader.begin();
+        writable();
+    }
+
+    private void writable() {
+        if (toWrite == null) {
+            channel.getSinkChannel().suspendWrites();
+            return;
+        }
+        try {
+            ByteBuffer last = toWrite[toWrite.length - 1];
+            while (last.hasRemaining()) {
+                if (channel.getSinkChannel().write(toWrite, 0, toWrite.length) == 0) {
+                    channel.getSinkChannel().resumeWrites();
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            broken("writing: " + e.getMessage());
+            return;
+        }
+        toWrite = null;
+        written = true;
+        channel.getSinkChannel().suspendWrites();
+        heard.written();
+    }
+
+    private void readable() {
+        byte[] bytes = dialer.bytes;
+        try {
+            while (!closed) {
+                ByteBuffer buffer = dialer.buffer;
+                buffer.clear();
+                int count = channel.getSourceChannel().read(buffer);
+                if (count == 0) {
+                    return;
+                }
+                if (count < 0) {
+                    endOfStream();
+                    return;
+                }
+                buffer.flip().get(bytes, 0, count);
+                took(bytes, count);
+            }
+        } catch (IOException e) {
+            broken("reading: " + e.getMessage());
+        }
+    }
+
+    private void took(byte[] bytes, int count) {
+        if (heard == null) {
+            broken("bytes that nobody asked for");
+            return;
+        }
+        try {
+            int used = reader.read(bytes, 0, count, heard);
+            if (closed || !reader.done()) {
+                return;
+            }
+            // An answer before the whole task was written, or more than one, leaves it in no known state.
+            lasting = used == count && reader.lasting() && written;
+            ended();
+        } catch (AnswerReader.Odd e) {
+            broken("answered with " + e.getMessage());
+        }
+    }
+
+    private void endOfStream() {
+        if (heard != null && reader.endOfStream()) {
+            lasting = false;
+            ended();
+        } else {
+            broken("ended by the other side");
+        }
+    }
+
+    private void ended() {
+        Heard told = heard;
+        heard = null;
+        toWrite = null;
+        if (!lasting) {
+            close();
+        }
+        told.ended();
+    }
+
+    private void broken(String why) {
+        if (closed) {
+            return;
+        }
+        Heard told = heard;
+        close();
+        if (told != null) {
+            told.broken(why);
+        } else if (onEnd != null) {
+            onEnd.run();
+        }
+    }
+
+    /** Ends it, with whatever is on it. Nothing more is told. */
+    public void close() {
+        if (!closed) {
+            closed = true;
+            reader.stop();
+            lasting = false;
+            heard = null;
+            toWrite = null;
+            dialer.open--;
+            IoUtils.safeClose(channel);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/connections/Dialer.java
@@ -0,0 +1,109 @@
+package rampshift.connections;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import rampshift.time.Span;
+
+/** Opens connections on the I/O thread. All of them read through its one buffer. */
+public final class Dialer {
+    private static final int BUFFER = 16 * 1024;
+    private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+
+    private final XnioIoThread thread;
+    final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
+    final byte[] bytes = new byte[BUFFER];
+    int open;
+
+    /** Tells how a dial ended, once, unless it was called off. */
+    public interface Dialed {
+        void connected(Connection connection);
+
+        void failed(String why);
+    }
+
+    /** A dial under way: one timer and one half-open socket, both given back in {@link #over}. */
+    public final class Dial {
+        private final Dialed told;
+        private IoFuture<StreamConnection> coming;
+        private XnioExecutor.Key timer;
+        private boolean over;
+
+        private Dial(Dialed told) {
+            this.told = told;
+        }
+
+        private void start(InetSocketAddress to, Span timeout) {
+            open++;
+            ChannelListener<StreamConnection> opened = this::opened;
+            coming = thread.openStreamConnection(to, opened, OPTIONS);
+            if (over) {
+                return;
+            }
+            timer = thread.executeAfter(() -> fail("no connection in time"), timeout.micros(),
+                    TimeUnit.MICROSECONDS);
+            coming.addNotifier((future, nothing) -> {
+                if (future.getStatus() == IoFuture.Status.FAILED) {
+                    IOException e = future.getException();
+                    thread.execute(() -> fail(String.valueOf(e.getMessage())));
+                }
+            }, null);
+        }
+
+        private void opened(StreamConnection channel) {
+            if (over) {
+                org.xnio.IoUtils.safeClose(channel);
+                return;
+            }
+            over();
+            told.connected(new Connection(Dialer.this, channel));
+        }
+
+        private void fail(String why) {
+            if (!over) {
+                callOff();
+                told.failed(why);
+            }
+        }
+
+        /** Stops waiting; nothing is told. */
+        public void callOff() {
+            if (!over) {
+                over();
+                open--;
+                coming.cancel();
+            }
+        }
+
+        private void over() {
+            over = true;
+            if (timer != null) {
+                timer.remove();
+            }
+        }
+    }
+
+    public Dialer(XnioIoThread thread) {
+        this.thread = thread;
+    }
+
+    /** Connections and dials under way. */
+    public int open() {
+        return open;
+    }
+
+    /** Never tells before it returns. */
+    public Dial dial(InetSocketAddress to, Span timeout, Dialed told) {
+        Dial dial = new Dial(told);
+        dial.start(to, timeout);
+        return dial;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/connections/Heard.java
@@ -0,0 +1,24 @@
+package rampshift.connections;
+
+/**
+ * What a connection tells of one exchange, all on the I/O thread. Exactly one of {@code ended} and
+ * {@code broken} comes last, unless the connection is closed from this side first: then nothing more.
+ */
+public interface Heard {
+    /** The first byte is about to be written; false holds it back, and the connection stays unused. */
+    boolean mayWrite();
+
+    /** The last byte was written: from now on the other side may have got it all. */
+    void written();
+
+    void head(Head head);
+
+    /** A piece of the body; the array is only lent. */
+    void body(byte[] bytes, int from, int length);
+
+    /** The whole answer has come. */
+    void ended();
+
+    /** No connection, or it broke before the whole answer had come. */
+    void broken(String why);
+}
--- a/src/main/java/rampshift/drill/Drill.java
+++ b/src/main/java/rampshift/drill/Drill.java
@@ -15,6 +15,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import rampshift.settings.Malformed;
 import rampshift.time.Moment;
 
 /** Hosts many instances of the decision module on the simulator's wire; they share nothing. */
--- a/src/main/java/rampshift/drill/Fields.java
+++ b/src/main/java/rampshift/drill/Fields.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import rampshift.settings.Malformed;
+import rampshift.settings.SettingsReader;
 
 /** The fields of the message being read. One object is used for all messages in turn. */
 final class Fields {
--- a/src/main/java/rampshift/drill/Instance.java
+++ b/src/main/java/rampshift/drill/Instance.java
@@ -2,6 +2,8 @@
 
 import rampshift.decide.Choice;
 import rampshift.decide.Outcome;
+import rampshift.settings.Malformed;
+import rampshift.settings.SettingsReader;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
--- a/src/main/java/rampshift/drill/Malformed.java
+++ b/src/main/java/rampshift/settings/Malformed.java
@@ -1,10 +1,10 @@
-package rampshift.drill;
+package rampshift.settings;
 
 /** Input that the wire does not allow. */
-final class Malformed extends RuntimeException {
+public final class Malformed extends RuntimeException {
     private static final long serialVersionUID = 1L;
 
-    Malformed(String what) {
+    public Malformed(String what) {
         super(what);
     }
 }
--- /dev/null
+++ b/src/main/java/rampshift/settings/Platform.java
@@ -0,0 +1,16 @@
+package rampshift.settings;
+
+import java.util.List;
+import rampshift.time.Span;
+
+/** What a host on sockets needs of the settings, beside what the decision module reads. */
+public record Platform(
+        List<String> zones,
+        List<String> kinds,
+        List<String> types,
+        Span dialTimeout,
+        Span connectionIdle,
+        int mostOpen,
+        String freeSlots,
+        String freeMemory) {
+}
--- a/src/main/java/rampshift/drill/SettingsReader.java
+++ b/src/main/java/rampshift/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package rampshift.drill;
+package rampshift.settings;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
@@ -12,14 +12,14 @@
 import rampshift.time.Span;
 
 /** Reads the settings of an instance; unknown ones are ignored, absent ones keep the wire's meaning. */
-final class SettingsReader {
+public final class SettingsReader {
     private final Map<String, Object> root;
 
-    SettingsReader(JsonParser in) throws IOException {
+    public SettingsReader(JsonParser in) throws IOException {
         root = object(in);
     }
 
-    Settings read(long seed) {
+    public Settings read(long seed) {
         Settings s = new Settings();
         s.seed = seed;
         Map<String, Object> limits = part("Limits");
@@ -71,8 +71,25 @@
         return s;
     }
 
+    /** What only a host on sockets needs. */
+    public Platform platform() {
+        Map<String, Object> limits = part("Limits");
+        return new Platform(names("Zones", false), names("Kinds", false), names("TrafficTypes", true),
+                span(limits, "DialTimeoutMs", 100), span(limits, "ConnIdleMs", 10_000),
+                (int) Math.max(1, Math.min(Integer.MAX_VALUE, number(limits, "OpenCap", Integer.MAX_VALUE))),
+                reportOf("free slots"), reportOf("free memory"));
+    }
+
+    private List<String> names(String list, boolean rows) {
+        List<String> names = new ArrayList<>();
+        for (Object entry : list(root, list)) {
+            names.add(String.valueOf(rows ? map(entry, list).get("Name") : entry));
+        }
+        return names;
+    }
+
     /** The name of the report value with this meaning, or null where there is none. */
-    String reportOf(String meaning) {
+    public String reportOf(String meaning) {
         Map<String, Object> family = part("FamilyInfo");
         if (meaning.equals(family.get("ReportX0"))) {
             return "x0";
--- /dev/null
+++ b/src/main/java/rampshift/stages/Admit.java
@@ -0,0 +1,32 @@
+package rampshift.stages;
+
+import rampshift.counters.Counters;
+import rampshift.log.Log;
+
+/** Second stage: bounds what is in hand. Full, it bounces; nothing was sent for the task, so that is harmless. */
+public final class Admit {
+    private final int mostTasks;
+    private final long mostBytes;
+    private final Book book;
+    private final Relay relay;
+    private final Route next;
+
+    public Admit(int mostTasks, long mostBytes, Book book, Relay relay, Route next) {
+        this.mostTasks = mostTasks;
+        this.mostBytes = mostBytes;
+        this.book = book;
+        this.relay = relay;
+        this.next = next;
+    }
+
+    void task(InHand task) {
+        if (book.tasks() >= mostTasks || book.bytes() + task.bytes() > mostBytes) {
+            Log.warn("full", "tasks", book.tasks(), "bytes", book.bytes());
+            book.count(Counters.Name.BOUNCED_FULL);
+            relay.bounced(task, rampshift.time.Span.ZERO);
+            return;
+        }
+        book.taken(task);
+        next.task(task);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/stages/InHand.java
@@ -0,0 +1,59 @@
+package rampshift.stages;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import rampshift.clients.Call;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+import rampshift.workers.Assignment;
+
+/** A task that was taken in, until it is answered and all its assignments have ended. */
+final class InHand {
+    final long id;
+    final Call call;
+    final String txn;
+    final int type;
+    final String object;
+    final double width;
+    final double memory;
+    final Moment expiry;
+    /** All of the head that goes on to workers, but for the time left; and the body, as they came. */
+    private final byte[] head;
+    private final byte[] body;
+    /** In the order of their numbers; null once ended. */
+    final List<Assignment> assignments = new ArrayList<>(2);
+    int out;
+    boolean closed;
+
+    InHand(long id, Call call, String txn, int type, String object, double width, double memory, Moment expiry) {
+        this.id = id;
+        this.call = call;
+        this.txn = txn;
+        this.type = type;
+        this.object = object;
+        this.width = width;
+        this.memory = memory;
+        this.expiry = expiry;
+        StringBuilder text = new StringBuilder(512);
+        text.append(call.method()).append(' ').append(call.target()).append(" HTTP/1.1\r\n");
+        call.passOn(text, TakeIn.REMAINING);
+        text.append("Content-Length: ").append(call.body().length).append("\r\n");
+        head = text.toString().getBytes(StandardCharsets.ISO_8859_1);
+        body = call.body();
+    }
+
+    int bytes() {
+        return head.length + body.length;
+    }
+
+    /** The whole message for one worker. */
+    ByteBuffer[] message(Moment now) {
+        Span left = expiry.since(now);
+        String last = TakeIn.REMAINING + ": " + String.format(Locale.ROOT, "%.3f", left.millis() / 1000) + "\r\n\r\n";
+        return new ByteBuffer[] {ByteBuffer.wrap(head),
+            ByteBuffer.wrap(last.getBytes(StandardCharsets.ISO_8859_1)), ByteBuffer.wrap(body)};
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/stages/Route.java
@@ -0,0 +1,197 @@
+package rampshift.stages;
+
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import rampshift.counters.Counters;
+import rampshift.decide.Choice;
+import rampshift.decide.Decisions;
+import rampshift.decide.Outcome;
+import rampshift.decide.Settings;
+import rampshift.discovery.Listing;
+import rampshift.discovery.Target;
+import rampshift.log.Log;
+import rampshift.settings.Platform;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+import rampshift.workers.LoadReport;
+import rampshift.workers.Pool;
+
+/**
+ * Third stage: the host of the decision module. Whatever is heard goes straight into a call on it, then its
+ * decisions are pulled one by one and carried out straight away.
+ */
+public final class Route implements Decisions {
+    private final XnioIoThread thread;
+    private final Clock clock;
+    private final Choice choice;
+    private final Platform platform;
+    private final Pool pool;
+    private final Book book;
+    private final Send send;
+    private final Relay relay;
+    private final Uids uids = new Uids();
+    /** What is heard while decisions are carried out waits until they are. */
+    private final ArrayDeque<Runnable> heard = new ArrayDeque<>();
+    private boolean deciding;
+    private XnioExecutor.Key wake;
+
+    public Route(XnioIoThread thread, Clock clock, Settings settings, Platform platform, Pool pool, Book book,
+            Send send, Relay relay) {
+        this.thread = thread;
+        this.clock = clock;
+        this.platform = platform;
+        this.pool = pool;
+        this.book = book;
+        this.send = send;
+        this.relay = relay;
+        choice = new Choice(settings, clock.now());
+    }
+
+    // ---- what is heard
+
+    private void hear(Runnable input) {
+        heard.add(input);
+        if (deciding) {
+            return;
+        }
+        deciding = true;
+        try {
+            while (!heard.isEmpty()) {
+                try {
+                    choice.clock(clock.now());
+                    heard.poll().run();
+                    while (choice.next(this)) {
+                        continue;
+                    }
+                } catch (RuntimeException e) {
+                    StackTraceElement[] at = e.getStackTrace();
+                    Log.error("fault", "thrown", e, "at", at.length == 0 ? "?" : at[0]);
+                }
+            }
+        } finally {
+            deciding = false;
+        }
+    }
+
+    /** {@code remembered}: the list had before the start, perhaps old. */
+    public void listed(Listing list, boolean remembered) {
+        hear(() -> {
+            boolean whole = list.whole() || remembered;
+            choice.listBegins(remembered ? Choice.List.REMEMBERED : whole ? Choice.List.WHOLE : Choice.List.CHANGES);
+            if (whole) {
+                pool.beginWhole();
+            }
+            for (Target t : list.targets()) {
+                long number = uids.number(t.uid());
+                boolean ready = t.state() == Target.State.READY;
+                pool.listed(number, t.uid(), t.address(), ready);
+                choice.listed(number, index(platform.zones(), t.zone()), t.cell(), index(platform.kinds(), t.kind()),
+                        ready, Moment.ofMillis(t.bootMs()), t.weight());
+            }
+            if (whole) {
+                pool.endWhole();
+            }
+            choice.listEnds();
+        });
+    }
+
+    /** A name that the settings do not know stands after all that they do. */
+    private static int index(List<String> names, String name) {
+        int i = names.indexOf(name);
+        return i < 0 ? names.size() : i;
+    }
+
+    void task(InHand task) {
+        task.call.onGone(() -> hear(() -> {
+            relay.clientLeft(task);
+            choice.clientLeft(task.id);
+            book.settle(task);
+        }));
+        hear(() -> choice.arrived(task.id, task.type, 0, task.object, Span.ZERO, task.width, task.memory,
+                task.expiry.since(clock.now())));
+    }
+
+    void begun(InHand task, int number) {
+        hear(() -> choice.begun(task.id, number));
+    }
+
+    void progressed(InHand task, int number, double share) {
+        hear(() -> choice.progressed(task.id, number, share));
+    }
+
+    void reported(long worker, LoadReport load) {
+        hear(() -> choice.reported(worker, load.free(), load.queued(), load.held(), load.memoryFree()));
+    }
+
+    void ended(InHand task, int number, Outcome outcome, byte[] result) {
+        if (outcome == Outcome.FINISHED) {
+            relay.finished(task, result);
+        }
+        hear(() -> {
+            choice.ended(task.id, number, outcome, task.closed);
+            book.settle(task);
+        });
+    }
+
+    void echoed(long worker, boolean answered, LoadReport load) {
+        if (answered) {
+            book.count(Counters.Name.PROBES_ANSWERED);
+        }
+        if (load != null) {
+            reported(worker, load);
+        }
+        hear(() -> choice.echoed(worker, answered));
+    }
+
+    // ---- what is decided
+
+    @Override
+    public void assign(long task, long worker, Span timeout) {
+        send.assign(this, book.get(task), worker, timeout);
+    }
+
+    @Override
+    public void cancel(long task, int assignment) {
+        InHand held = book.get(task);
+        if (held != null) {
+            send.cancel(held, assignment);
+        }
+    }
+
+    @Override
+    public void bounce(long task, Span comeBackAfter) {
+        InHand held = book.get(task);
+        relay.bounced(held, comeBackAfter);
+        book.settle(held);
+    }
+
+    @Override
+    public void abandon(long task) {
+        InHand held = book.get(task);
+        relay.abandoned(held);
+        book.settle(held);
+    }
+
+    @Override
+    public void probe(long worker) {
+        send.probe(this, worker);
+    }
+
+    @Override
+    public void subscribe() {
+        // The watch on discovery is kept at all times.
+    }
+
+    @Override
+    public void wakeAt(Moment when) {
+        if (wake != null) {
+            wake.remove();
+        }
+        long micros = Math.max(0, when.since(clock.now()).micros());
+        wake = thread.executeAfter(() -> hear(choice::woken), micros, TimeUnit.MICROSECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/stages/TakeIn.java
@@ -0,0 +1,109 @@
+package rampshift.stages;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import rampshift.clients.Call;
+import rampshift.clients.Door;
+import rampshift.counters.Counters;
+import rampshift.decide.Settings;
+import rampshift.log.Log;
+import rampshift.time.Clock;
+import rampshift.time.Span;
+
+/** First stage: makes a task of a client's call, or turns it down with a plain 4xx. */
+public final class TakeIn implements Door.Intake {
+    static final String REMAINING = "X-Remaining";
+    private static final int LONGEST_ID = 200;
+    private static final double MOST_FIGURE = 1e6;
+
+    private final Settings settings;
+    private final Map<String, Integer> types = new HashMap<>();
+    private final Clock clock;
+    private final Counters counters;
+    private final Book book;
+    private final Admit next;
+    private long ids;
+
+    public TakeIn(Settings settings, List<String> typeNames, Clock clock, Counters counters, Book book, Admit next) {
+        this.settings = settings;
+        this.clock = clock;
+        this.counters = counters;
+        this.book = book;
+        this.next = next;
+        for (int i = 0; i < typeNames.size(); i++) {
+            types.put(typeNames.get(i), i);
+        }
+    }
+
+    @Override
+    public void taken(Call call) {
+        if (!call.method().equals("POST")) {
+            turnDown(call, 405, "tasks come by POST");
+            return;
+        }
+        String txn = call.field("X-Txn");
+        if (txn == null || txn.isEmpty() || txn.length() > LONGEST_ID) {
+            turnDown(call, 400, "X-Txn is missing or too long");
+            return;
+        }
+        if (book.holds(txn)) {
+            turnDown(call, 409, "a task with this X-Txn is in hand");
+            return;
+        }
+        String lane = call.field("X-Lane");
+        Integer type = lane == null ? null : types.get(lane);
+        if (type == null) {
+            turnDown(call, 400, "X-Lane is missing or unknown");
+            return;
+        }
+        double left = number(call.field(REMAINING));
+        if (!(left > 0)) {
+            turnDown(call, 400, "X-Remaining is missing or not a number of seconds above 0");
+            return;
+        }
+        double slots = 1;
+        double memory = 0;
+        String labels = call.field("X-Labels");
+        if (labels != null) {
+            for (String label : labels.split(",")) {
+                int equals = label.indexOf('=');
+                String name = equals < 0 ? "" : label.substring(0, equals).trim();
+                double value = equals < 0 ? Double.NaN : number(label.substring(equals + 1));
+                boolean sensible = value >= 0 && value <= MOST_FIGURE;
+                if (name.equals("slots") && sensible) {
+                    slots = value;
+                } else if (name.equals("memory") && sensible) {
+                    memory = value;
+                } else if (name.equals("slots") || name.equals("memory")) {
+                    turnDown(call, 400, "X-Labels: " + name + " is not a number that makes sense");
+                    return;
+                }
+            }
+        }
+        // No client waits longer than its traffic type's expiry, whatever it says.
+        Span most = settings.types.get(type).expiry();
+        Span patience = left > most.millis() / 1000 ? most : Span.ofMillis(left * 1000);
+        next.task(new InHand(++ids, call, txn, type, object(call.path()), slots, memory, clock.now().plus(patience)));
+    }
+
+    /** What the task is about: the path's last part, where it has one after the first. */
+    private static String object(String path) {
+        int last = path.lastIndexOf('/');
+        return last > 0 && last + 1 < path.length() ? path.substring(last + 1) : null;
+    }
+
+    private static double number(String text) {
+        try {
+            return text == null || text.length() > 30 ? Double.NaN : Double.parseDouble(text.trim());
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+
+    private void turnDown(Call call, int status, String why) {
+        counters.add(Counters.Name.TURNED_DOWN);
+        Log.warn("turned-down", "status", status, "why", why);
+        call.answer(status, why);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/workers/Assignment.java
@@ -0,0 +1,233 @@
+package rampshift.workers;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.xnio.XnioExecutor;
+import rampshift.connections.Head;
+import rampshift.counters.Counters;
+import rampshift.decide.Outcome;
+import rampshift.log.Log;
+import rampshift.time.Span;
+
+/**
+ * One sending of a task to a worker, until its outcome is known. Whether the last byte was written decides
+ * between "never ran" and "may have run".
+ */
+public final class Assignment extends Errand {
+    private static final int LONGEST = 64 * 1024;
+    private static final JsonFactory JSON = new JsonFactory();
+
+    /** Who is told; {@code ended} comes once, and last. */
+    public interface Told {
+        void begun();
+
+        void progressed(double share);
+
+        void reported(long worker, LoadReport load);
+
+        /** The result is null unless it finished. */
+        void ended(Outcome outcome, byte[] result);
+    }
+
+    private final String txn;
+    private final Supplier<ByteBuffer[]> message;
+    private final Told out;
+    private final XnioExecutor.Key timeout;
+    private boolean written;
+    private int status;
+    private byte[] line = new byte[1024];
+    private int length;
+
+    Assignment(Pool pool, Place place, String txn, Supplier<ByteBuffer[]> message, Span timeout, Told out) {
+        super(pool, place);
+        this.txn = txn;
+        this.message = message;
+        this.out = out;
+        this.timeout = timeout.micros() <= 0 ? null : pool.thread.executeAfter(
+                () -> callOff(written ? Outcome.TIMED_OUT : Outcome.NOT_SENT), timeout.micros(),
+                TimeUnit.MICROSECONDS);
+    }
+
+    @Override
+    ByteBuffer[] message() {
+        return message.get();
+    }
+
+    /** Closes its connection; the outcome is told if none was before. */
+    public void callOff() {
+        callOff(written ? Outcome.CALLED_OFF : Outcome.NOT_SENT);
+    }
+
+    private void callOff(Outcome outcome) {
+        if (!told()) {
+            pool.counters.add(Counters.Name.CALLED_OFF);
+            end(outcome, null);
+        }
+    }
+
+    /** A drain may have been told while the connection was made. */
+    @Override
+    public boolean mayWrite() {
+        if (!place.ready) {
+            pool.counters.add(Counters.Name.FIRST_BYTE_HELD_BACK);
+            end(Outcome.NOT_SENT, null);
+        }
+        return place.ready;
+    }
+
+    @Override
+    public void written() {
+        written = true;
+    }
+
+    @Override
+    void noRoom() {
+        end(Outcome.NOT_SENT, null);
+    }
+
+    @Override
+    public void failed(String why) {
+        pool.counters.add(Counters.Name.DIAL_FAILED);
+        end(Outcome.NO_CONNECTION, null);
+    }
+
+    @Override
+    public void head(Head head) {
+        status = head.status();
+        if (status == 200) {
+            return;
+        }
+        String load = head.field("X-Pressure");
+        if (load != null) {
+            headerLoad(load);
+        }
+        boolean away = (status == 503 || status == 504) && "1".equals(head.field("X-Turned-Away"));
+        if (!away && status != 500) {
+            odd("status " + status);
+        }
+        tell(away ? Outcome.FULL : Outcome.ERRED, null);
+    }
+
+    private void headerLoad(String text) {
+        try (JsonParser in = JSON.createParser(text)) {
+            in.nextToken();
+            LoadReport load = LoadReport.read(in, pool.platform.freeSlots(), pool.platform.freeMemory());
+            if (load != null) {
+                out.reported(place.number, load);
+            }
+        } catch (IOException e) {
+            odd("a load report that is no JSON");
+        }
+    }
+
+    @Override
+    public void body(byte[] bytes, int from, int count) {
+        if (status != 200 || told()) {
+            return;
+        }
+        for (int i = from; i < from + count && !told(); i++) {
+            if (bytes[i] == '\n') {
+                line();
+            } else if (length == LONGEST) {
+                odd("a line over " + LONGEST + " bytes");
+                end(Outcome.ERRED, null);
+            } else {
+                if (length == line.length) {
+                    line = Arrays.copyOf(line, length * 2);
+                }
+                line[length++] = bytes[i];
+            }
+        }
+    }
+
+    private void line() {
+        int size = length;
+        length = 0;
+        if (size == 0 || size == 1 && line[0] == '\r') {
+            return;
+        }
+        Note note;
+        try {
+            note = Note.read(line, size, pool.platform.freeSlots(), pool.platform.freeMemory());
+        } catch (IOException e) {
+            odd("a line that is no JSON object");
+            end(Outcome.BROKEN, null);
+            return;
+        }
+        if (note.id != null && !note.id.equals(txn) || note.id == null && "done".equals(note.state)) {
+            odd("a line for another task");
+            end(Outcome.BROKEN, null);
+            return;
+        }
+        if (note.from != null && !note.from.equals(place.uid)) {
+            odd("a line from " + note.from);
+        }
+        if (note.load != null) {
+            out.reported(place.number, note.load);
+        }
+        state(note);
+    }
+
+    private void state(Note note) {
+        switch (note.state == null ? "" : note.state) {
+            case "started" -> out.begun();
+            case "running" -> {
+                if (note.share > 0 && note.share <= 1) {
+                    out.progressed(note.share);
+                }
+            }
+            case "done" -> tell(Outcome.FINISHED, note.result);
+            case "failed" -> tell(Outcome.ERRED, null);
+            case "returned" -> tell(Outcome.FULL, null);
+            case "lost" -> tell(Outcome.BROKEN, null);
+            default -> odd("the unknown state " + note.state);
+        }
+    }
+
+    @Override
+    public void ended() {
+        if (!told() && length > 0) {
+            line();
+        }
+        end(Outcome.BROKEN, null);
+    }
+
+    @Override
+    public void broken(String why) {
+        end(written ? Outcome.BROKEN : Outcome.NO_CONNECTION, null);
+    }
+
+    private void odd(String what) {
+        pool.counters.add(Counters.Name.ODD_ANSWERS);
+        Log.warn("odd-answer", "worker", place.uid, "what", what);
+    }
+
+    /** Tells the outcome while the rest of the answer is still to come. */
+    private void tell(Outcome outcome, byte[] result) {
+        if (tell()) {
+            giveTimerBack();
+            linger();
+            out.ended(outcome, result);
+        }
+    }
+
+    private void end(Outcome outcome, byte[] result) {
+        boolean first = tell();
+        over();
+        if (first) {
+            giveTimerBack();
+            out.ended(outcome, result);
+        }
+    }
+
+    private void giveTimerBack() {
+        if (timeout != null) {
+            timeout.remove();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/workers/Errand.java
@@ -0,0 +1,78 @@
+package rampshift.workers;
+
+import java.nio.ByteBuffer;
+import rampshift.connections.Connection;
+import rampshift.connections.Dialer;
+import rampshift.connections.Heard;
+import rampshift.time.Moment;
+
+/** Something carried to a worker and back: it gets a connection, and gives it back once, in {@link #over}. */
+abstract class Errand implements Heard, Dialer.Dialed {
+    final Pool pool;
+    final Place place;
+    private Dialer.Dial dial;
+    private Connection connection;
+    private boolean told;
+    /** When it was told of as ended while its answer had not wholly come. */
+    Moment lingersSince;
+
+    Errand(Pool pool, Place place) {
+        this.pool = pool;
+        this.place = place;
+    }
+
+    abstract ByteBuffer[] message();
+
+    /** No connection can be had, for want of room here. */
+    abstract void noRoom();
+
+    void start() {
+        connection = pool.idle(place);
+        if (connection != null) {
+            connection.exchange(this, message());
+        } else if (place.address == null || !pool.room()) {
+            noRoom();
+        } else {
+            dial = pool.dial(place, this);
+        }
+    }
+
+    @Override
+    public final void connected(Connection made) {
+        dial = null;
+        connection = made;
+        connection.exchange(this, message());
+    }
+
+    /** Marks the end as told; false if it was before. What still comes of the answer is only read off. */
+    final boolean tell() {
+        boolean first = !told;
+        told = true;
+        return first;
+    }
+
+    final boolean told() {
+        return told;
+    }
+
+    /** The connection stays for the rest of the answer, but not for long. */
+    final void linger() {
+        if (connection != null) {
+            pool.linger(this);
+        }
+    }
+
+    /** The one place where dial and connection are given back: for reuse, if they are in a known state. */
+    final void over() {
+        if (dial != null) {
+            dial.callOff();
+            dial = null;
+        }
+        if (connection != null) {
+            Connection given = connection;
+            connection = null;
+            pool.lingerEnds(this);
+            pool.giveBack(place, given);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/workers/Place.java
@@ -0,0 +1,21 @@
+package rampshift.workers;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import rampshift.connections.Connection;
+
+/** One worker as the pool knows it, and the idle connections to it. */
+final class Place {
+    final long number;
+    final String uid;
+    InetSocketAddress address;
+    /** It takes new tasks, by the last list. */
+    boolean ready;
+    /** The last used first. */
+    final ArrayDeque<Connection> idle = new ArrayDeque<>();
+
+    Place(long number, String uid) {
+        this.number = number;
+        this.uid = uid;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/workers/Pool.java
@@ -0,0 +1,193 @@
+package rampshift.workers;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.xnio.XnioIoThread;
+import rampshift.connections.Connection;
+import rampshift.connections.Dialer;
+import rampshift.counters.Counters;
+import rampshift.settings.Platform;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** All connections to workers: it owns the idle ones, and lends them to assignments and probes. */
+public final class Pool {
+    private static final double IDLE_SHARE = 0.5;      // of the time after which a worker may close it
+    private static final Span LINGER = Span.ofMillis(1000);
+    private static final Span SWEEP = Span.ofMillis(500);
+
+    final XnioIoThread thread;
+    final Platform platform;
+    final Counters counters;
+    private final Clock clock;
+    private final Dialer dialer;
+    private final int most;
+    private final Map<Long, Place> places = new HashMap<>();
+    private final Set<Errand> lingering = new LinkedHashSet<>();
+    private int idle;
+
+    public Pool(XnioIoThread thread, Dialer dialer, Clock clock, Platform platform, Counters counters, int most) {
+        this.thread = thread;
+        this.dialer = dialer;
+        this.clock = clock;
+        this.platform = platform;
+        this.counters = counters;
+        this.most = most;
+        sweepLater();
+    }
+
+    /** What a list tells of a worker; with no address it can't be sent to. */
+    public void listed(long number, String uid, InetSocketAddress address, boolean ready) {
+        Place place = places.computeIfAbsent(number, n -> new Place(n, uid));
+        boolean moved = place.address != null && !place.address.equals(address);
+        place.address = address == null ? place.address : address;
+        place.ready = ready;
+        if (moved || !ready) {
+            dropIdle(place);
+        }
+    }
+
+    /** A whole list follows: what it does not name is gone. */
+    public void beginWhole() {
+        for (Place place : places.values()) {
+            place.ready = false;
+        }
+    }
+
+    public void endWhole() {
+        for (Place place : places.values()) {
+            if (!place.ready) {
+                dropIdle(place);
+            }
+        }
+    }
+
+    public boolean ready(long number) {
+        Place place = places.get(number);
+        return place != null && place.ready;
+    }
+
+    /** May tell before it returns. */
+    public Assignment assign(long number, String txn, Supplier<ByteBuffer[]> message, Span timeout,
+            Assignment.Told told) {
+        Assignment a = new Assignment(this, places.get(number), txn, message, timeout, told);
+        a.start();
+        return a;
+    }
+
+    /** May tell before it returns. */
+    public void probe(long number, Probed told) {
+        new Probe(this, places.get(number), told::echoed).start();
+    }
+
+    /** Who is told of a probe's end. */
+    public interface Probed {
+        void echoed(long worker, boolean answered, LoadReport load);
+    }
+
+    // ---- for errands
+
+    Connection idle(Place place) {
+        while (!place.idle.isEmpty()) {
+            Connection c = place.idle.pop();
+            idle--;
+            if (c.usable()) {
+                counters.add(Counters.Name.REUSED);
+                return c;
+            }
+            c.close();
+        }
+        return null;
+    }
+
+    /** Whether one more may be opened; the connection that idled longest makes room. */
+    boolean room() {
+        if (dialer.open() >= most && idle > 0) {
+            Place with = null;
+            for (Place p : places.values()) {
+                if (!p.idle.isEmpty() && (with == null
+                        || p.idle.peekLast().idleSince.before(with.idle.peekLast().idleSince))) {
+                    with = p;
+                }
+            }
+            dropOldest(with);
+        }
+        return dialer.open() < most;
+    }
+
+    Dialer.Dial dial(Place place, Errand errand) {
+        counters.add(Counters.Name.DIALED);
+        return dialer.dial(place.address, platform.dialTimeout(), errand);
+    }
+
+    void giveBack(Place place, Connection connection) {
+        if (!connection.usable() || !place.ready) {
+            connection.close();
+            return;
+        }
+        connection.idleSince = clock.now();
+        connection.onEnd(() -> {
+            if (place.idle.remove(connection)) {
+                idle--;
+            }
+        });
+        place.idle.push(connection);
+        idle++;
+    }
+
+    void linger(Errand errand) {
+        errand.lingersSince = clock.now();
+        lingering.add(errand);
+    }
+
+    void lingerEnds(Errand errand) {
+        lingering.remove(errand);
+    }
+
+    // ---- the idle ones
+
+    private void dropIdle(Place place) {
+        while (!place.idle.isEmpty()) {
+            dropOldest(place);
+        }
+    }
+
+    private void dropOldest(Place place) {
+        idle--;
+        counters.add(Counters.Name.IDLE_DROPPED);
+        place.idle.pollLast().close();
+    }
+
+    private void sweepLater() {
+        thread.executeAfter(this::sweep, SWEEP.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    private void sweep() {
+        Moment now = clock.now();
+        Span mostIdle = platform.connectionIdle().times(IDLE_SHARE);
+        for (Place place : places.values()) {
+            while (!place.idle.isEmpty() && now.since(place.idle.peekLast().idleSince).longerThan(mostIdle)) {
+                dropOldest(place);
+            }
+        }
+        List<Errand> late = new ArrayList<>();
+        for (Iterator<Errand> i = lingering.iterator(); i.hasNext();) {
+            Errand e = i.next();
+            if (now.since(e.lingersSince).longerThan(LINGER)) {
+                late.add(e);
+            }
+        }
+        late.forEach(Errand::over);
+        sweepLater();
+    }
+}
