Warm before ready: a rehearsal over pipes and an archive of loaded classes

Ready after 4.2 s; a start took 0.81 s of CPU time. Checked: the log showed no other work than the first tasks; CPU stood at its limit only at the start, so classes being loaded and code not compiled yet, not the decisions.

--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -1,22 +1,117 @@
 package rampshift;
 
 import java.io.IOException;
+import java.io.PrintStream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import rampshift.drill.Drill;
+import rampshift.log.Log;
 import rampshift.serve.Serve;
+import rampshift.settings.Configuration;
+import rampshift.settings.Malformed;
 
-/** The command line: one subcommand a protocol. */
+/** The command line: sub-commands, and what each is given. */
 public final class Main {
+    private static final String HELP = """
+            usage: rampshift [--help] [--version] COMMAND
+
+              serve      run a dispatcher on sockets, by the file that NODE_CONFIG names, until SIGTERM
+              check      read that file and say whether serve could start with it
+              counters   ask the dispatcher of that file what it has taken in, sent and answered
+              rehearse   start without a configuration, warm up and stop: for the archive of loaded classes
+              drill      play the simulator's wire on standard input and output
+              version    print the version
+
+              -h, --help       print this
+              -V, --version    print the version
+
+            Exit status: 0 done; 1 a fault, or input that the wire does not allow; 2 a wrong command line,
+            configuration or environment.
+            """;
+
     private Main() {
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("drill")) {
-            System.exit(Drill.run(System.in, System.out, System.err));
+        System.exit(run(args, System.out, System.err));
+    }
+
+    static int run(String[] args, PrintStream out, PrintStream err) throws IOException {
+        Options options = new Options().addOption(new Option("h", "help", false, null))
+                .addOption(new Option("V", "version", false, null));
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options, args);
+        } catch (ParseException e) {
+            return wrong(e.getMessage(), err);
+        }
+        if (line.hasOption("help")) {
+            out.print(HELP);
+            return 0;
+        }
+        if (line.hasOption("version")) {
+            return version(out);
+        }
+        if (line.getArgList().size() != 1) {
+            return wrong(line.getArgList().isEmpty() ? "no command" : "more than one command", err);
         }
-        if (args.length == 1 && args[0].equals("serve")) {
-            System.exit(Serve.run(System.getenv()));
+        String command = line.getArgList().get(0);
+        return switch (command) {
+            case "drill" -> Drill.run(System.in, out, err);
+            case "serve", "check", "counters" -> configured(command, out, err);
+            case "rehearse" -> rehearse(err);
+            case "version" -> version(out);
+            case "help" -> {
+                out.print(HELP);
+                yield 0;
+            }
+            default -> wrong("unknown command " + command, err);
+        };
+    }
+
+    private static int configured(String command, PrintStream out, PrintStream err) {
+        try {
+            Configuration configuration = Configuration.read(System.getenv());
+            switch (command) {
+                case "check" -> out.println("good: " + configuration.name + " on " + configuration.listen);
+                case "counters" -> out.print(Ask.page(configuration.listen, "/counters"));
+                default -> {
+                    Serve serve = new Serve(configuration);
+                    Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
+                    serve.awaitEnd();
+                }
+            }
+            return 0;
+        } catch (Malformed | IOException e) {
+            Log.flush();
+            err.println("rampshift " + command + ": " + e.getMessage());
+            return 2;
+        }
+    }
+
+    private static int rehearse(PrintStream err) throws IOException {
+        try (var in = Main.class.getResourceAsStream("rehearsal.json")) {
+            Serve serve = new Serve(Configuration.read(in.readAllBytes()));
+            serve.awaitReady();
+            serve.stop();
+            return 0;
+        } catch (Malformed e) {
+            err.println("rampshift rehearse: " + e.getMessage());
+            return 1;
         }
-        System.err.println("usage: rampshift drill    play the simulator's wire on standard input and output");
-        System.exit(2);
+    }
+
+    private static int version(PrintStream out) {
+        String version = Main.class.getPackage().getImplementationVersion();
+        out.println("rampshift " + (version == null ? "(not packaged)" : version));
+        return 0;
+    }
+
+    private static int wrong(String what, PrintStream err) {
+        err.println("rampshift: " + what + "; rampshift --help tells more");
+        return 2;
     }
 }
--- a/src/main/java/rampshift/clients/Call.java
+++ b/src/main/java/rampshift/clients/Call.java
@@ -2,7 +2,7 @@
 
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.ServerConnection;
+import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -61,7 +61,7 @@
     public void passOn(StringBuilder to, String butFor) {
         for (HeaderValues values : exchange.getRequestHeaders()) {
             HttpString name = values.getHeaderName();
-            if (!NOT_PASSED_ON.contains(name) && !name.toString().equalsIgnoreCase(butFor)) {
+            if (!NOT_PASSED_ON.contains(name) && !name.equalToString(butFor)) {
                 for (String value : values) {
                     to.append(name).append(": ").append(value).append("\r\n");
                 }
@@ -73,9 +73,9 @@
     public void onGone(Runnable gone) {
         this.gone = gone;
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
-        connection.addCloseListener(this::closed);
         StreamSourceConduit source = connection.getOriginalSourceConduit();
-        // Undertow puts its own listener back once the exchange is over.
+        // Only the listener is exchanged, and Undertow puts its own back once the exchange is over: with the
+        // conduit's handler exchanged it did not, and every second task on a connection was never read.
         connection.getChannel().getSourceChannel().setReadListener(c -> peek(connection, source));
         source.resumeReads();
     }
@@ -92,7 +92,7 @@
             if (count > 0) {
                 source.suspendReads();
                 buffer.getBuffer().flip();
-                ((io.undertow.server.protocol.http.HttpServerConnection) connection).ungetRequestBytes(buffer);
+                ((HttpServerConnection) connection).ungetRequestBytes(buffer);
                 buffer = null;
             } else if (count < 0) {
                 IoUtils.safeClose(connection);
@@ -106,24 +106,23 @@
         }
     }
 
-    private void closed(ServerConnection connection) {
+    /** Its connection has ended. */
+    void closed() {
         if (!over) {
             over = true;
-            door.done(this, exchange);
             if (gone != null) {
                 gone.run();
             }
         }
     }
 
-    /** False if the client has gone. The times are in the wire's own form. */
+    /** False if the client has gone. {@code comeBackAfter} is in seconds, or null. */
     public boolean answer(int status, String comeBackAfter, byte[] bytes) {
         if (over) {
             return false;
         }
         over = true;
         ((AbstractServerConnection) exchange.getConnection()).getOriginalSourceConduit().suspendReads();
-        door.done(this, exchange);
         exchange.setStatusCode(status);
         if (comeBackAfter != null) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, comeBackAfter);
--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -1,18 +1,19 @@
 package rampshift.clients;
 
 import io.undertow.UndertowOptions;
-import io.undertow.io.Receiver;
 import io.undertow.connector.ByteBufferPool;
+import io.undertow.io.Receiver;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
+import io.undertow.server.RequestTooBigException;
 import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -22,10 +23,12 @@
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
 import rampshift.counters.Counters;
+import rampshift.log.Log;
 import rampshift.time.Clock;
 import rampshift.time.Moment;
 import rampshift.time.Span;
@@ -35,23 +38,33 @@
     private static final int LARGEST_BODY = 64 * 1024;
     private static final int LARGEST_HEAD = 16 * 1024;
     private static final int MOST_FIELDS = 64;
+    private static final int BACKLOG = 1024;
     private static final Span HALF_HEAD = Span.ofMillis(10_000);
     private static final Span SWEEP = Span.ofMillis(1000);
 
-    private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Clock clock;
     private final Counters counters;
     private final int most;
+    private final int spare;
     private final Intake intake;
+    private final HttpOpenListener http;
     private final Map<String, Supplier<Page>> pages = new HashMap<>();
-    /** All open connections, the one that idles longest first; and whether a call is on them. */
-    private final LinkedHashMap<StreamConnection, Boolean> open = new LinkedHashMap<>(64, 0.75f, true);
-    private HttpOpenListener http;
+    /** All open connections, the one that idles longest first. */
+    private final LinkedHashMap<StreamConnection, Client> open = new LinkedHashMap<>(64, 0.75f, true);
     private AcceptingChannel<StreamConnection> socket;
+    private XnioExecutor.Key sweep;
     private Moment lastNew;
     private boolean stopping;
 
+    /** What is on a client's connection. */
+    private static final class Client {
+        /** A call came and its answer is not wholly written. */
+        boolean busy;
+        boolean watched;
+        Call call;
+    }
+
     /** Who is handed the clients' calls. */
     public interface Intake {
         void taken(Call call);
@@ -60,82 +73,105 @@
     /** What a GET of one of the dispatcher's own paths brings. */
     public record Page(int status, String text) { }
 
-    public Door(XnioWorker worker, XnioIoThread thread, Clock clock, Counters counters, int most, Intake intake) {
-        this.worker = worker;
+    /**
+     * Takes at most so many clients at once. Beyond, idle ones make room, and where there are none so many
+     * spare ones are still taken, so that their calls can be bounced; the rest is closed unheard.
+     */
+    public Door(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Counters counters, int most, int spare,
+            Span mostIdle, Intake intake) {
         this.thread = thread;
         this.clock = clock;
         this.counters = counters;
         this.most = most;
+        this.spare = spare;
         this.intake = intake;
-    }
-
-    public void page(String path, Supplier<Page> page) {
-        pages.put(path, page);
-    }
-
-    public void open(InetSocketAddress address, ByteBufferPool buffers) throws IOException {
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_ENTITY_SIZE, (long) LARGEST_BODY)
                 .set(UndertowOptions.MAX_HEADER_SIZE, LARGEST_HEAD)
                 .set(UndertowOptions.MAX_HEADERS, MOST_FIELDS)
                 .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) HALF_HEAD.millis())
+                .set(UndertowOptions.IDLE_TIMEOUT, (int) mostIdle.millis())
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .getMap());
         http.setRootHandler(new HttpContinueReadHandler(this::handle));
+        sweepLater();
+    }
+
+    public void page(String path, Supplier<Page> page) {
+        pages.put(path, page);
+    }
+
+    public void open(XnioWorker worker, InetSocketAddress address) throws IOException {
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
         socket = worker.createStreamConnectionServer(address, accept, OptionMap.builder()
                 .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                .set(Options.BACKLOG, 1024).getMap());
+                .set(Options.BACKLOG, BACKLOG).getMap());
         socket.resumeAccepts();
-        lastNew = clock.now();
-        sweepLater();
     }
 
-    /** All that wait are taken at once: what lies in the kernel's backlog is taken already. */
+    /** All that wait are taken at once: what lies in the kernel's backlog counts as taken already. */
     private void accept(AcceptingChannel<StreamConnection> from) {
         try {
             for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
-                counters.add(Counters.Name.CLIENT_CONNECTIONS);
-                lastNew = clock.now();
-                if (open.size() >= most) {
-                    makeRoom();
-                }
-                open.put(c, false);
-                http.handleEvent(c);
+                accepted(c);
             }
         } catch (IOException e) {
-            rampshift.log.Log.warn("accept", "failed", e.getMessage());
+            Log.warn("accept", "failed", e.getMessage());
         }
     }
 
-    /** A connection may be closed between calls: the one that has idled longest goes. */
+    /** A new client. */
+    public void accepted(StreamConnection connection) {
+        counters.add(Counters.Name.CLIENT_CONNECTIONS);
+        lastNew = clock.now();
+        if (open.size() >= most) {
+            makeRoom();
+        }
+        if (open.size() >= most + spare) {
+            Log.warn("clients-full", "connections", open.size());
+            counters.add(Counters.Name.CLIENT_CONNECTIONS_CLOSED_FOR_ROOM);
+            IoUtils.safeClose(connection);
+            return;
+        }
+        open.put(connection, new Client());
+        http.handleEvent(connection);
+    }
+
+    /** A connection may be closed between calls: the ones that have idled longest go. */
     private void makeRoom() {
         sweep();
-        for (Iterator<Map.Entry<StreamConnection, Boolean>> i = open.entrySet().iterator();
-                i.hasNext() && open.size() >= most;) {
-            Map.Entry<StreamConnection, Boolean> e = i.next();
-            if (!e.getValue()) {
-                i.remove();
+        for (Map.Entry<StreamConnection, Client> e : new ArrayList<>(open.entrySet())) {
+            if (open.size() < most) {
+                return;
+            }
+            if (!e.getValue().busy) {
                 counters.add(Counters.Name.CLIENT_CONNECTIONS_CLOSED_FOR_ROOM);
-                IoUtils.safeClose(e.getKey());
+                closeIdle(e.getKey());
             }
         }
     }
 
+    private void closeIdle(StreamConnection connection) {
+        open.remove(connection);
+        IoUtils.safeClose(connection);
+    }
+
+    /** Those that ended without any call. */
     private void sweep() {
         open.keySet().removeIf(c -> !c.isOpen());
     }
 
     private void sweepLater() {
-        thread.executeAfter(() -> {
+        sweep = thread.executeAfter(() -> {
             sweep();
             sweepLater();
         }, SWEEP.micros(), TimeUnit.MICROSECONDS);
     }
 
     private void handle(HttpServerExchange exchange) {
+        Client client = client(exchange);
         Supplier<Page> page = pages.get(exchange.getRequestURI());
         if (page != null && (exchange.getRequestMethod().equals(Methods.GET)
                 || exchange.getRequestMethod().equals(Methods.HEAD))) {
@@ -144,63 +180,85 @@
             exchange.getResponseSender().send(p.text());
             return;
         }
-        open.put(channel(exchange), true);
         Receiver body = exchange.getRequestReceiver();
-        body.receiveFullBytes((e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE,
-                () -> intake.taken(new Call(this, e, bytes))), (e, broken) -> unread(e, broken));
+        body.receiveFullBytes((e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> {
+            client.call = new Call(this, e, bytes);
+            intake.taken(client.call);
+        }), this::unread);
+    }
+
+    /** Marks its connection as busy until the whole answer is written. */
+    private Client client(HttpServerExchange exchange) {
+        AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
+        StreamConnection channel = connection.getChannel();
+        Client client = open.computeIfAbsent(channel, c -> new Client());
+        client.busy = true;
+        if (!client.watched) {
+            client.watched = true;
+            connection.addCloseListener(c -> ended(channel, client));
+        }
+        exchange.addExchangeCompleteListener((e, next) -> {
+            client.busy = false;
+            client.call = null;
+            next.proceed();
+        });
+        return client;
+    }
+
+    private void ended(StreamConnection channel, Client client) {
+        open.remove(channel);
+        Call call = client.call;
+        client.call = null;
+        if (call != null) {
+            call.closed();
+        }
     }
 
     private void unread(HttpServerExchange exchange, IOException why) {
         counters.add(Counters.Name.TURNED_DOWN);
-        open.put(channel(exchange), false);
         exchange.setPersistent(false);
-        exchange.setStatusCode(why instanceof io.undertow.server.RequestTooBigException
+        exchange.setStatusCode(why instanceof RequestTooBigException
                 || why instanceof Receiver.RequestToLargeException ? 413 : 400);
         exchange.endExchange();
     }
 
-    private static StreamConnection channel(HttpServerExchange exchange) {
-        return ((AbstractServerConnection) exchange.getConnection()).getChannel();
-    }
-
-    /** The call on this connection is over. */
-    void done(Call call, HttpServerExchange exchange) {
-        StreamConnection c = channel(exchange);
-        if (open.containsKey(c)) {
-            open.put(c, false);
-        }
-    }
-
     boolean stopping() {
         return stopping;
     }
 
-    /** The stop has begun: connections end between calls, new ones and their calls go on being taken. */
+    /** The stop has begun: connections end between calls; new ones and their calls go on being taken. */
     public void beginStop() {
         stopping = true;
-        sweep();
-        for (Map.Entry<StreamConnection, Boolean> e : open.entrySet()) {
-            if (!e.getValue()) {
-                IoUtils.safeClose(e.getKey());
+        lastNew = clock.now();
+        closeAllIdle();
+    }
+
+    private void closeAllIdle() {
+        for (Map.Entry<StreamConnection, Client> e : new ArrayList<>(open.entrySet())) {
+            if (!e.getValue().busy) {
+                closeIdle(e.getKey());
             }
         }
-        sweep();
     }
 
-    /** Nobody is left, and nobody has come for this long. */
+    /** Whether no call is on and nobody new has come for this long; those who came and said nothing may go. */
     public boolean quietFor(Span span) {
-        sweep();
-        return open.isEmpty() && clock.now().since(lastNew).longerThan(span);
+        if (!clock.now().since(lastNew).longerThan(span)) {
+            return false;
+        }
+        closeAllIdle();
+        return open.isEmpty();
     }
 
     public int connections() {
         return open.size();
     }
 
+    /** Gives back the socket, the connections and the timer. */
     public void close() {
         IoUtils.safeClose(socket);
-        sweep();
-        open.keySet().forEach(IoUtils::safeClose);
+        sweep.remove();
+        new ArrayList<>(open.keySet()).forEach(IoUtils::safeClose);
         open.clear();
     }
 }
--- a/src/main/java/rampshift/connections/Dialer.java
+++ b/src/main/java/rampshift/connections/Dialer.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -19,10 +20,16 @@
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final XnioIoThread thread;
+    private final Opener opener;
     final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
     final byte[] bytes = new byte[BUFFER];
     int open;
 
+    /** Opens a channel to an address, and hands it to the listener on the I/O thread. */
+    public interface Opener {
+        IoFuture<StreamConnection> open(InetSocketAddress to, ChannelListener<StreamConnection> opened);
+    }
+
     /** Tells how a dial ended, once, unless it was called off. */
     public interface Dialed {
         void connected(Connection connection);
@@ -43,11 +50,7 @@
 
         private void start(InetSocketAddress to, Span timeout) {
             open++;
-            ChannelListener<StreamConnection> opened = this::opened;
-            coming = thread.openStreamConnection(to, opened, OPTIONS);
-            if (over) {
-                return;
-            }
+            coming = opener.open(to, this::opened);
             timer = thread.executeAfter(() -> fail("no connection in time"), timeout.micros(),
                     TimeUnit.MICROSECONDS);
             coming.addNotifier((future, nothing) -> {
@@ -60,7 +63,7 @@
 
         private void opened(StreamConnection channel) {
             if (over) {
-                org.xnio.IoUtils.safeClose(channel);
+                IoUtils.safeClose(channel);
                 return;
             }
             over();
@@ -92,7 +95,12 @@
     }
 
     public Dialer(XnioIoThread thread) {
+        this(thread, (to, opened) -> thread.openStreamConnection(to, opened, OPTIONS));
+    }
+
+    public Dialer(XnioIoThread thread, Opener opener) {
         this.thread = thread;
+        this.opener = opener;
     }
 
     /** Connections and dials under way. */
--- a/src/main/java/rampshift/counters/Counters.java
+++ b/src/main/java/rampshift/counters/Counters.java
@@ -1,6 +1,8 @@
 package rampshift.counters;
 
 import java.util.EnumMap;
+import java.util.Locale;
+import java.util.stream.Stream;
 
 /** What was taken in, sent and answered since the start. Counted on the I/O thread alone. */
 public final class Counters {
@@ -30,11 +32,17 @@
         return counts.get(name)[0];
     }
 
+    /** Names and values in turn, those that are not 0. */
+    public Object[] pairs() {
+        return counts.entrySet().stream().filter(e -> e.getValue()[0] != 0)
+                .flatMap(e -> Stream.of(e.getKey().name().toLowerCase(Locale.ROOT), e.getValue()[0])).toArray();
+    }
+
     /** One {@code name value} a line. */
     public String text() {
         StringBuilder text = new StringBuilder();
         for (Name name : Name.values()) {
-            text.append(name.name().toLowerCase(java.util.Locale.ROOT)).append(' ').append(get(name)).append('\n');
+            text.append(name.name().toLowerCase(Locale.ROOT)).append(' ').append(get(name)).append('\n');
         }
         return text.toString();
     }
--- /dev/null
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -0,0 +1,59 @@
+package rampshift.serve;
+
+import io.undertow.connector.ByteBufferPool;
+import org.xnio.XnioIoThread;
+import rampshift.clients.Door;
+import rampshift.connections.Dialer;
+import rampshift.counters.Counters;
+import rampshift.decide.Settings;
+import rampshift.decide.TrafficType;
+import rampshift.settings.Configuration;
+import rampshift.settings.Platform;
+import rampshift.stages.Admit;
+import rampshift.stages.Book;
+import rampshift.stages.Relay;
+import rampshift.stages.Route;
+import rampshift.stages.Send;
+import rampshift.stages.TakeIn;
+import rampshift.time.Clock;
+import rampshift.time.Span;
+import rampshift.workers.Pool;
+
+/** One set of the parts between clients and workers, and how the limits are shared out among them. */
+final class Dispatcher {
+    private static final int RESERVED = 64;            // descriptors of the JVM, its files and discovery
+    private static final double TO_WORKERS = 0.4;      // of the descriptors left
+    private static final double SPARE = 0.1;           // of the clients' part: taken in only to be bounced
+    private static final double BODIES = 0.08;         // of the memory: what tasks in hand may hold
+    private static final double CLIENT_IDLE = 4;       // longest expiries until a silent client is dropped
+
+    final Door door;
+    final Book book;
+    final Route route;
+    private final Pool pool;
+
+    Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
+            Configuration configuration) {
+        Settings settings = configuration.settings.read(configuration.seed);
+        Platform platform = configuration.settings.platform();
+        int sockets = configuration.sockets - RESERVED;
+        int toWorkers = (int) (sockets * TO_WORKERS);
+        int clients = sockets - toWorkers;
+        int spare = (int) (clients * SPARE);
+        Span longest = settings.types.stream().map(TrafficType::expiry).reduce(Span.ZERO, Span::orLonger);
+        pool = new Pool(thread, dialer, clock, platform, counters, toWorkers);
+        book = new Book(counters);
+        Relay relay = new Relay(book);
+        route = new Route(thread, clock, settings, platform, pool, book, new Send(pool, clock, book), relay);
+        Admit admit = new Admit(Math.min(platform.mostOpen(), clients - spare),
+                (long) (configuration.memoryMb * BODIES * (1 << 20)), book, relay, route);
+        door = new Door(thread, buffers, clock, counters, clients - spare, spare, longest.times(CLIENT_IDLE),
+                new TakeIn(settings, platform.types(), clock, counters, book, admit));
+    }
+
+    void close() {
+        door.close();
+        pool.close();
+        route.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/serve/Rehearsal.java
@@ -0,0 +1,206 @@
+package rampshift.serve;
+
+import io.undertow.connector.ByteBufferPool;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.ChannelPipe;
+import org.xnio.FailedIoFuture;
+import org.xnio.FinishedIoFuture;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import rampshift.connections.Connection;
+import rampshift.connections.Dialer;
+import rampshift.connections.Head;
+import rampshift.connections.Heard;
+import rampshift.counters.Counters;
+import rampshift.discovery.Listing;
+import rampshift.log.Log;
+import rampshift.settings.Configuration;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * Before the dispatcher is ready, plays some tasks through a second set of all its parts, over pipes inside
+ * the process: on a quarter of a core the first real tasks otherwise took up to 185 ms to their first
+ * assignment, for classes that were not loaded and code that was not compiled yet.
+ */
+final class Rehearsal {
+    private static final int TASKS = 120;
+    private static final Span MOST = Span.ofMillis(2500);
+    private static final String TXN = "rehearsal";
+    private static final byte[] BODY = "the whole task".getBytes(StandardCharsets.ISO_8859_1);
+    private static final String ENTRY = "{\"uid\":\"r-%d\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"%s\",\"model\":\"%s\","
+            + "\"pod_group\":0,\"state\":\"in_service\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+
+    private final XnioIoThread thread;
+    private final Clock clock;
+    private final Dispatcher parts;
+    private final List<String> types;
+    private final Runnable done;
+    private final byte[] answer;
+    private Connection client;
+    private XnioExecutor.Key timer;
+    private Moment began;
+    private int played;
+    private boolean over;
+
+    Rehearsal(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Configuration configuration, Runnable done) {
+        this.thread = thread;
+        this.clock = clock;
+        this.done = done;
+        parts = new Dispatcher(thread, buffers, new Dialer(thread, this::toWorker), clock, new Counters(), configuration);
+        var platform = configuration.settings.platform();
+        types = platform.types();
+        StringBuilder list = new StringBuilder("{\"rev\":1,\"all\":true,\"targets\":[");
+        for (int i = 0; i < 4; i++) {
+            String zone = platform.zones().isEmpty() ? "" : platform.zones().get(i % platform.zones().size());
+            String kind = platform.kinds().isEmpty() ? "" : platform.kinds().get(i % platform.kinds().size());
+            list.append(i == 0 ? "" : ",").append(String.format(ENTRY, i, i + 1, zone, kind));
+        }
+        byte[] text = list.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+        parts.route.listed(Listing.read(text, text.length), false);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+        for (String rest : new String[] {"\"started\"", "\"running\",\"share\":0.5",
+            "\"done\",\"load\":{\"x0\":1,\"depth\":0,\"x1\":2.5},\"result\":\"" + "result ".repeat(60) + '"'}) {
+            String line = "{\"id\":\"" + TXN + "\",\"state\":" + rest + "}\n";
+            out.writeBytes(ascii(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"));
+        }
+        out.writeBytes(ascii("0\r\n\r\n"));
+        answer = out.toByteArray();
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    void start() {
+        began = clock.now();
+        timer = thread.executeAfter(() -> finish("time"), MOST.micros(), TimeUnit.MICROSECONDS);
+        new Dialer(thread, this::toDoor).dial(null, MOST, new Dialer.Dialed() {
+            @Override
+            public void connected(Connection connection) {
+                client = connection;
+                next();
+            }
+
+            @Override
+            public void failed(String why) {
+                finish(why);
+            }
+        });
+    }
+
+    private IoFuture<StreamConnection> toDoor(InetSocketAddress to, ChannelListener<StreamConnection> opened) {
+        return pipe(opened, parts.door::accepted);
+    }
+
+    private IoFuture<StreamConnection> toWorker(InetSocketAddress to, ChannelListener<StreamConnection> opened) {
+        return pipe(opened, this::worker);
+    }
+
+    private IoFuture<StreamConnection> pipe(ChannelListener<StreamConnection> here, ChannelListener<StreamConnection> there) {
+        try {
+            ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
+            thread.execute(() -> {
+                there.handleEvent(pipe.getRightSide());
+                here.handleEvent(pipe.getLeftSide());
+            });
+            return new FinishedIoFuture<>(pipe.getLeftSide());
+        } catch (IOException e) {
+            return new FailedIoFuture<>(e);
+        }
+    }
+
+    /** A stand-in for a worker: once the whole task has come, the whole answer goes. */
+    private void worker(StreamConnection end) {
+        ByteBuffer in = ByteBuffer.allocate(4096);
+        end.getSourceChannel().setReadListener(source -> {
+            try {
+                while (source.read(in) > 0) {
+                    continue;
+                }
+                boolean whole = in.position() >= BODY.length && ByteBuffer.wrap(BODY).equals(
+                        in.duplicate().flip().position(in.position() - BODY.length));
+                if (whole) {
+                    in.clear();
+                    end.getSinkChannel().write(ByteBuffer.wrap(answer));
+                } else if (source.read(in) < 0) {
+                    IoUtils.safeClose(end);
+                }
+            } catch (IOException e) {
+                IoUtils.safeClose(end);
+            }
+        });
+        end.getSourceChannel().resumeReads();
+    }
+
+    private void next() {
+        if (over) {
+            return;
+        }
+        if (played == TASKS) {
+            finish("all played");
+            return;
+        }
+        String head = "POST /api/" + played % 7 + " HTTP/1.1\r\nHost: rehearsal\r\nX-Txn: " + TXN + "\r\nX-Lane: "
+                + types.get(played % types.size()) + "\r\nX-Remaining: 5.000\r\nX-Labels: slots=1,memory=0.5\r\n"
+                + "Idempotency-Key: " + played + "\r\nContent-Length: " + BODY.length + "\r\n\r\n";
+        played++;
+        client.exchange(new Heard() {
+            @Override
+            public boolean mayWrite() {
+                return true;
+            }
+
+            @Override
+            public void written() {
+                // Its answer counts.
+            }
+
+            @Override
+            public void head(Head head) {
+                // Any will do.
+            }
+
+            @Override
+            public void body(byte[] bytes, int from, int length) {
+                // Nobody reads it.
+            }
+
+            @Override
+            public void ended() {
+                thread.execute(Rehearsal.this::next);
+            }
+
+            @Override
+            public void broken(String why) {
+                finish(why);
+            }
+        }, ByteBuffer.wrap(ascii(head)), ByteBuffer.wrap(BODY));
+    }
+
+    private void finish(String why) {
+        if (over) {
+            return;
+        }
+        over = true;
+        timer.remove();
+        if (client != null) {
+            client.close();
+        }
+        parts.close();
+        Log.info("rehearsed", "tasks", played, "ms", Math.round(clock.now().since(began).millis()), "end", why);
+        done.run();
+    }
+}
--- a/src/main/java/rampshift/settings/Configuration.java
+++ b/src/main/java/rampshift/settings/Configuration.java
@@ -57,6 +57,13 @@
         return c;
     }
 
+    /** Reads it from bytes alone. */
+    public static Configuration read(byte[] bytes) throws IOException {
+        Configuration c = new Configuration();
+        c.parse(bytes, Map.of());
+        return c;
+    }
+
     private void parse(byte[] bytes, Map<String, String> environment) throws IOException {
         String nodeName = environment.get("NODE_NAME");
         String listenText = environment.get("NODE_LISTEN");
--- a/src/main/java/rampshift/stages/Route.java
+++ b/src/main/java/rampshift/stages/Route.java
@@ -51,6 +51,13 @@
         choice = new Choice(settings, clock.now());
     }
 
+    /** Gives back the timer. */
+    public void close() {
+        if (wake != null) {
+            wake.remove();
+        }
+    }
+
     // ---- what is heard
 
     private void hear(Runnable input) {
--- a/src/main/java/rampshift/workers/Pool.java
+++ b/src/main/java/rampshift/workers/Pool.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import rampshift.connections.Connection;
 import rampshift.connections.Dialer;
@@ -35,6 +36,7 @@
     private final Map<Long, Place> places = new HashMap<>();
     private final Set<Errand> lingering = new LinkedHashSet<>();
     private int idle;
+    private XnioExecutor.Key sweep;
 
     public Pool(XnioIoThread thread, Dialer dialer, Clock clock, Platform platform, Counters counters, int most) {
         this.thread = thread;
@@ -168,8 +170,14 @@
         place.idle.pollLast().close();
     }
 
+    /** Gives back the idle connections and the timer. */
+    public void close() {
+        sweep.remove();
+        places.values().forEach(this::dropIdle);
+    }
+
     private void sweepLater() {
-        thread.executeAfter(this::sweep, SWEEP.micros(), TimeUnit.MICROSECONDS);
+        sweep = thread.executeAfter(this::sweep, SWEEP.micros(), TimeUnit.MICROSECONDS);
     }
 
     private void sweep() {
