--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -63,7 +63,7 @@
         return switch (command) {
             case "drill" -> Drill.run(System.in, out, err);
             case "serve", "check", "counters" -> configured(command, environment, out, err);
-            case "rehearse" -> rehearse(err);
+            case "rehearse" -> rehearse();
             case "version" -> version(out);
             case "help" -> {
                 out.print(HELP);
@@ -94,16 +94,11 @@
         }
     }
 
-    private static int rehearse(PrintStream err) throws IOException {
-        try (var in = Main.class.getResourceAsStream("rehearsal.json")) {
-            Serve serve = new Serve(Configuration.read(in.readAllBytes()));
-            serve.awaitReady();
-            serve.stop();
-            return 0;
-        } catch (Malformed e) {
-            err.println("rampshift rehearse: " + e.getMessage());
-            return 1;
-        }
+    private static int rehearse() throws IOException {
+        Serve serve = Serve.rehearsal();
+        serve.awaitReady();
+        serve.stop();
+        return 0;
     }
 
     private static int version(PrintStream out) {
--- a/src/main/java/rampshift/log/Log.java
+++ b/src/main/java/rampshift/log/Log.java
@@ -2,7 +2,6 @@
 
 import java.io.PrintStream;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
@@ -55,7 +54,8 @@
             return;
         }
         StringBuilder text = new StringBuilder(96);
-        text.append(String.format(Locale.ROOT, "%.3f ", now / 1e9)).append(level).append(' ').append(word);
+        text.append(now / 1_000_000_000).append('.')
+                .append(String.valueOf(1000 + now / 1_000_000 % 1000), 1, 4).append(' ').append(level).append(' ').append(word);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
             text.append(' ').append(pairs[i]).append('=');
             plain(String.valueOf(pairs[i + 1]), text);
--- a/src/main/java/rampshift/serve/Rehearsal.java
+++ b/src/main/java/rampshift/serve/Rehearsal.java
@@ -3,6 +3,7 @@
 import io.undertow.connector.ByteBufferPool;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -35,12 +36,10 @@
  * assignment, for classes that were not loaded and code that was not compiled yet.
  */
 final class Rehearsal {
-    private static final int TASKS = 120;
-    private static final Span MOST = Span.ofMillis(2500);
+    private static final int TASKS = 40;
+    private static final Span MOST = Span.ofMillis(1500);
     private static final String TXN = "rehearsal";
     private static final byte[] BODY = "the whole task".getBytes(StandardCharsets.ISO_8859_1);
-    private static final String ENTRY = "{\"uid\":\"r-%d\",\"endpoint\":\"127.0.0.1:%d\",\"az\":\"%s\",\"model\":\"%s\","
-            + "\"pod_group\":0,\"state\":\"in_service\",\"capacity_hint\":1.0,\"boot_ms\":0}";
 
     private final XnioIoThread thread;
     private final Clock clock;
@@ -54,21 +53,14 @@
     private int played;
     private boolean over;
 
-    Rehearsal(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Configuration configuration, Runnable done) {
+    Rehearsal(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Runnable done) {
+        Configuration configuration = configuration();
         this.thread = thread;
         this.clock = clock;
         this.done = done;
         parts = new Dispatcher(thread, buffers, new Dialer(thread, this::toWorker), clock, new Counters(), configuration);
-        var platform = configuration.settings.platform();
-        types = platform.types();
-        StringBuilder list = new StringBuilder("{\"rev\":1,\"all\":true,\"targets\":[");
-        for (int i = 0; i < 4; i++) {
-            String zone = platform.zones().isEmpty() ? "" : platform.zones().get(i % platform.zones().size());
-            String kind = platform.kinds().isEmpty() ? "" : platform.kinds().get(i % platform.kinds().size());
-            list.append(i == 0 ? "" : ",").append(String.format(ENTRY, i, i + 1, zone, kind));
-        }
-        byte[] text = list.append("]}").toString().getBytes(StandardCharsets.UTF_8);
-        parts.route.listed(Listing.read(text, text.length), false);
+        types = configuration.settings.platform().types();
+        parts.route.listed(Listing.read(configuration.known, configuration.known.length), false);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
         for (String rest : new String[] {"\"started\"", "\"running\",\"share\":0.5",
@@ -80,6 +72,15 @@
         answer = out.toByteArray();
     }
 
+    /** Always the same one: a rehearsal does not hang on the deployment. */
+    static Configuration configuration() {
+        try (var in = Rehearsal.class.getResourceAsStream("/rampshift/rehearsal.json")) {
+            return Configuration.read(in.readAllBytes());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private static byte[] ascii(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -49,6 +49,9 @@
     /** Starts it, or throws with one line that says why not. */
     public Serve(Configuration configuration) throws IOException {
         this.configuration = configuration;
+        // XNIO would put beans into the platform's JMX server, which alone takes 0.15 s of CPU to start. With no
+        // such server it goes on without; nobody here reads them, the counters are for that.
+        System.setProperty("javax.management.builder.initial", "none");
         worker = Xnio.getInstance(Serve.class.getClassLoader()).createWorker(OptionMap.builder()
                 .set(Options.WORKER_NAME, "io").set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
@@ -72,6 +75,11 @@
         }
     }
 
+    /** One that serves nobody: for the archive of the classes that a start loads. */
+    public static Serve rehearsal() throws IOException {
+        return new Serve(Rehearsal.configuration());
+    }
+
     private void begin() throws IOException {
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS_KEPT, 0);
         Dialer dialer = new Dialer(thread);
@@ -90,7 +98,7 @@
         });
         watch.start();
         Log.info("started", "name", configuration.name, "listen", configuration.listen);
-        new Rehearsal(thread, buffers, clock, configuration, () -> {
+        new Rehearsal(thread, buffers, clock, () -> {
             rehearsed = true;
             ready.countDown();
         }).start();
--- a/src/main/java/rampshift/stages/InHand.java
+++ b/src/main/java/rampshift/stages/InHand.java
@@ -4,10 +4,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import rampshift.clients.Call;
 import rampshift.time.Moment;
-import rampshift.time.Span;
 import rampshift.workers.Assignment;
 
 /** A task that was taken in, until it is answered and all its assignments have ended. */
@@ -51,8 +49,7 @@
 
     /** The whole message for one worker. */
     ByteBuffer[] message(Moment now) {
-        Span left = expiry.since(now);
-        String last = TakeIn.REMAINING + ": " + String.format(Locale.ROOT, "%.3f", left.millis() / 1000) + "\r\n\r\n";
+        String last = TakeIn.REMAINING + ": " + expiry.since(now).seconds() + "\r\n\r\n";
         return new ByteBuffer[] {ByteBuffer.wrap(head),
             ByteBuffer.wrap(last.getBytes(StandardCharsets.ISO_8859_1)), ByteBuffer.wrap(body)};
     }
--- a/src/main/java/rampshift/stages/Relay.java
+++ b/src/main/java/rampshift/stages/Relay.java
@@ -1,6 +1,5 @@
 package rampshift.stages;
 
-import java.util.Locale;
 import rampshift.counters.Counters;
 import rampshift.time.Span;
 
@@ -18,8 +17,7 @@
     }
 
     void bounced(InHand task, Span comeBackAfter) {
-        String advice = comeBackAfter.micros() <= 0 ? null
-                : String.format(Locale.ROOT, "%.3f", comeBackAfter.millis() / 1000);
+        String advice = comeBackAfter.micros() < 1000 ? null : comeBackAfter.seconds();
         close(task, Counters.Name.BOUNCED, 503, advice, NOTHING);
     }
 
--- a/src/main/java/rampshift/time/Span.java
+++ b/src/main/java/rampshift/time/Span.java
@@ -12,6 +12,13 @@
         return micros / 1000.0;
     }
 
+    /** In seconds, with three decimals; what is left of a millisecond is dropped. */
+    public String seconds() {
+        long millis = Math.abs(micros) / 1000;
+        String part = String.valueOf(1000 + millis % 1000).substring(1);
+        return (micros < 0 && millis > 0 ? "-" : "") + millis / 1000 + '.' + part;
+    }
+
     public Span plus(Span other) {
         return new Span(micros + other.micros);
     }
