A break that crosses the next watch begins one call, not two; lists of nonsense get a story

Found reading Watch again: an idle connection that ended between an answer and the next call led to two calls on one connection, one by the retry's timer and one that was due anyway. Watch.start now passes over a call that is already on.

--- a/src/main/java/rampshift/discovery/Watch.java
+++ b/src/main/java/rampshift/discovery/Watch.java
@@ -36,6 +36,7 @@
     private Dialer.Dial dial;
     private XnioExecutor.Key timer;
     private long version = -1;
+    private boolean calling;
     private boolean broken;
     private boolean stopped;
 
@@ -49,6 +50,9 @@
     }
 
     public void start() {
+        if (stopped || calling || dial != null) {
+            return;     // a break that crossed the next call has begun it already
+        }
         if (connection == null) {
             dial = dialer.dial(address, LATE, new Dialer.Dialed() {
                 @Override
@@ -80,6 +84,7 @@
         String text = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
                 + "\r\n\r\n";
         Span most = version < 0 ? LATE : LATE.plus(Span.ofMillis(WAIT_MS));
+        calling = true;
         timer = thread.executeAfter(() -> retry("no answer"), most.micros(), TimeUnit.MICROSECONDS);
         connection.exchange(new Answer(), ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
@@ -132,6 +137,7 @@
                 return;
             }
             timer.remove();
+            calling = false;
             if (broken || version < 0) {
                 Log.info("list", "rev", listing.version(), "workers", listing.targets().size());
             }
@@ -139,13 +145,10 @@
             version = listing.version();
             counters.add(listing.whole() ? Counters.Name.LISTS_WHOLE : Counters.Name.LISTS_CHANGES);
             told.accept(listing);
-            if (stopped) {
-                return;
-            }
-            if (!connection.usable()) {
+            if (connection != null && !connection.usable()) {
                 connection = null;
             }
-            thread.execute(Watch.this::next);
+            thread.execute(Watch.this::start);
         }
 
         @Override
@@ -154,12 +157,6 @@
         }
     }
 
-    private void next() {
-        if (!stopped) {
-            start();
-        }
-    }
-
     private void retry(String why) {
         drop();
         if (stopped) {
@@ -170,11 +167,12 @@
             Log.warn("list-watch", "broken", why, "kept", "the list as it was");
         }
         broken = true;
-        timer = thread.executeAfter(this::next, AGAIN.micros(), TimeUnit.MICROSECONDS);
+        timer = thread.executeAfter(this::start, AGAIN.micros(), TimeUnit.MICROSECONDS);
     }
 
     /** The one place where connection, dial and timer are given back. */
     private void drop() {
+        calling = false;
         if (timer != null) {
             timer.remove();
         }
--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -14,6 +14,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -333,6 +334,29 @@
         until("nobody is left", () -> client().task("d" + System.nanoTime(), "look", "x").read().status() == 503);
     }
 
+    @Test
+    void aListServiceThatTalksNonsenseIsAskedAgainAndTheListStays() throws Exception {
+        Peer known = worker(good());
+        Peer later = worker(good());
+        String bad = known.entry("s-1", "in_service").replace("127.0.0.1", "nowhere");
+        List<String> answers = List.of("{\"rev\":", "[]", "{\"rev\":1}", list(true, "7", "{}", known.entry("s-1", "in_service")),
+                list(true, later.entry("s-2", "in_service"), later.entry("s-3", "what"), bad));
+        AtomicInteger asked = new AtomicInteger();
+        Peer discovery = worker((message, line) -> {
+            int number = asked.getAndIncrement();
+            if (number >= answers.size()) {
+                return;     // nothing new any more
+            }
+            String body = answers.get(number).replace("REV", "1");
+            line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        });
+        node = node(discovery, list(true, known.entry("s-1", "in_service")), LIMITS);
+        assertEquals(200, client().task("a", "sell", "x").read().status());
+        until("the good list is followed", () -> client().task("b" + System.nanoTime(), "sell", "x").read().status() == 200
+                && !later.received.isEmpty());
+        until("it is watched on", () -> asked.get() == answers.size() + 1);
+    }
+
     @Test
     void withoutAListItIsNotReady() throws Exception {
         node = node(null, list(true), LIMITS);
