Timers of the module rounded up to whole milliseconds: half the CPU time gone

Checked: user time, not system time; the JIT's second tier did not help (same time on the I/O thread), so not slow code; perf with the JVM's symbol map showed 48% under Route's wake-up and executeAfter, and clock_gettime on top. Cause: XNIO's executeAfter keeps whole milliseconds only and runs what is left of one at once. Route.wakeAt passed microseconds, so the module was woken too early, asked again, and the thread spun until the moment came. Change: Route.wholeMillis rounds up.

--- a/src/main/java/rampshift/stages/Route.java
+++ b/src/main/java/rampshift/stages/Route.java
@@ -198,7 +198,15 @@
         if (wake != null) {
             wake.remove();
         }
-        long micros = Math.max(0, when.since(clock.now()).micros());
-        wake = thread.executeAfter(() -> hear(choice::woken), micros, TimeUnit.MICROSECONDS);
+        wake = thread.executeAfter(() -> hear(choice::woken), wholeMillis(when.since(clock.now())),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Never early. XNIO drops what is left of a millisecond: woken too soon, the module asked again at once,
+     * and the thread spun for most of a millisecond before each of its timers.
+     */
+    static long wholeMillis(Span span) {
+        return (Math.max(0, span.micros()) + 999) / 1000;
     }
 }
