--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -40,7 +40,8 @@
         System.exit(run(args, System.getenv(), System.out, System.err));
     }
 
-    static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream err) throws IOException {
+    static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream err)
+            throws IOException {
         Options options = new Options().addOption(new Option("h", "help", false, null))
                 .addOption(new Option("V", "version", false, null));
         CommandLine line;
--- a/src/main/java/rampshift/clients/Call.java
+++ b/src/main/java/rampshift/clients/Call.java
@@ -80,7 +80,7 @@
         source.resumeReads();
     }
 
-    /** Nothing is due from a client that waits: an end is its leaving, bytes are its next call, kept for later. */
+    /** Nothing is due from a client that waits: an end is its leaving, bytes are its next call, for later. */
     private void peek(AbstractServerConnection connection, StreamSourceConduit source) {
         if (over) {
             source.suspendReads();
--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -85,8 +85,8 @@
      * still taken, and their connections end with their answers; the rest waits in the kernel's backlog. It
      * was closed unheard at first, and a rush of 900 clients lost the tasks of 381.
      */
-    public Door(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Counters counters, int most, int spare,
-            long mostReceiving, Span mostIdle, Intake intake) {
+    public Door(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Counters counters, int most,
+            int spare, long mostReceiving, Span mostIdle, Intake intake) {
         this.thread = thread;
         this.clock = clock;
         this.counters = counters;
@@ -116,7 +116,8 @@
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
         socket = worker.createStreamConnectionServer(address, accept, OptionMap.builder()
                 .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
-                .set(Options.CONNECTION_HIGH_WATER, most + spare).set(Options.CONNECTION_LOW_WATER, most + spare - 1)
+                .set(Options.CONNECTION_HIGH_WATER, most + spare)
+                .set(Options.CONNECTION_LOW_WATER, most + spare - 1)
                 .set(Options.BACKLOG, BACKLOG).getMap());
         socket.resumeAccepts();
     }
@@ -128,7 +129,7 @@
                 accepted(c);
             }
         } catch (IOException e) {
-            Log.warn("accept", "failed", e.getMessage());
+            Log.warn("accept", "broke", e.getMessage());
         }
     }
 
@@ -289,7 +290,7 @@
         }
     }
 
-    /** Whether no call is on and nobody new has come for this long; those who came and said nothing may go. */
+    /** Whether no call is on and nobody new has come for so long; those who came and said nothing may go. */
     public boolean quietFor(Span span) {
         if (!clock.now().since(lastNew).longerThan(span)) {
             return false;
--- a/src/main/java/rampshift/connections/Dialer.java
+++ b/src/main/java/rampshift/connections/Dialer.java
@@ -34,7 +34,7 @@
     public interface Dialed {
         void connected(Connection connection);
 
-        void failed(String why);
+        void unreachable(String why);
     }
 
     /** A dial under way: one timer and one half-open socket, both given back in {@link #over}. */
@@ -73,7 +73,7 @@
         private void fail(String why) {
             if (!over) {
                 callOff();
-                told.failed(why);
+                told.unreachable(why);
             }
         }
 
--- a/src/main/java/rampshift/connections/Heard.java
+++ b/src/main/java/rampshift/connections/Heard.java
@@ -6,15 +6,20 @@
  */
 public interface Heard {
     /** The first byte is about to be written; false holds it back, and the connection stays unused. */
-    boolean mayWrite();
+    default boolean mayWrite() {
+        return true;
+    }
 
     /** The last byte was written: from now on the other side may have got it all. */
-    void written();
+    default void written() {
+    }
 
-    void head(Head head);
+    default void head(Head head) {
+    }
 
     /** A piece of the body; the array is only lent. */
-    void body(byte[] bytes, int from, int length);
+    default void body(byte[] bytes, int from, int length) {
+    }
 
     /** The whole answer has come. */
     void ended();
--- a/src/main/java/rampshift/counters/Counters.java
+++ b/src/main/java/rampshift/counters/Counters.java
@@ -35,7 +35,8 @@
     /** Names and values in turn, those that are not 0. */
     public Object[] pairs() {
         return counts.entrySet().stream().filter(e -> e.getValue()[0] != 0)
-                .flatMap(e -> Stream.of(e.getKey().name().toLowerCase(Locale.ROOT), e.getValue()[0])).toArray();
+                .flatMap(e -> Stream.of(e.getKey().name().toLowerCase(Locale.ROOT), e.getValue()[0]))
+                .toArray();
     }
 
     /** One {@code name value} a line. */
--- a/src/main/java/rampshift/discovery/Watch.java
+++ b/src/main/java/rampshift/discovery/Watch.java
@@ -64,7 +64,7 @@
                 }
 
                 @Override
-                public void failed(String why) {
+                public void unreachable(String why) {
                     dial = null;
                     retry(why);
                 }
@@ -94,16 +94,6 @@
         private byte[] bytes = new byte[4096];
         private int length;
 
-        @Override
-        public boolean mayWrite() {
-            return true;
-        }
-
-        @Override
-        public void written() {
-            // A watch may be sent again freely.
-        }
-
         @Override
         public void head(Head head) {
             status = head.status();
--- a/src/main/java/rampshift/log/LibraryLogs.java
+++ b/src/main/java/rampshift/log/LibraryLogs.java
@@ -5,7 +5,7 @@
 import org.jboss.logging.Logger;
 import org.jboss.logging.LoggerProvider;
 
-/** Found by JBoss Logging as its provider: what Undertow and XNIO log from WARN up goes through {@link Log}. */
+/** JBoss Logging finds it as its provider: what Undertow and XNIO say from WARN up goes through {@link Log}. */
 public final class LibraryLogs implements LoggerProvider {
     private static final class Lines extends Logger {
         private static final long serialVersionUID = 1L;
@@ -18,8 +18,8 @@
         protected void doLog(Level level, String caller, Object message, Object[] values, Throwable thrown) {
             if (isEnabled(level)) {
                 boolean bare = values == null || values.length == 0;
-                said(level, bare ? String.valueOf(message) : MessageFormat.format(String.valueOf(message), values),
-                        thrown);
+                String text = String.valueOf(message);
+                said(level, bare ? text : MessageFormat.format(text, values), thrown);
             }
         }
 
--- a/src/main/java/rampshift/log/Log.java
+++ b/src/main/java/rampshift/log/Log.java
@@ -54,8 +54,9 @@
             return;
         }
         StringBuilder text = new StringBuilder(96);
-        text.append(now / 1_000_000_000).append('.')
-                .append(String.valueOf(1000 + now / 1_000_000 % 1000), 1, 4).append(' ').append(level).append(' ').append(word);
+        text.append(now / 1_000_000_000).append('.');
+        text.append(String.valueOf(1000 + now / 1_000_000 % 1000), 1, 4);
+        text.append(' ').append(level).append(' ').append(word);
         for (int i = 0; i + 1 < pairs.length; i += 2) {
             text.append(' ').append(pairs[i]).append('=');
             plain(String.valueOf(pairs[i + 1]), text);
--- a/src/main/java/rampshift/serve/Rehearsal.java
+++ b/src/main/java/rampshift/serve/Rehearsal.java
@@ -58,13 +58,14 @@
         this.thread = thread;
         this.clock = clock;
         this.done = done;
-        parts = new Dispatcher(thread, buffers, new Dialer(thread, this::toWorker), clock, new Counters(), configuration);
+        parts = new Dispatcher(thread, buffers, new Dialer(thread, this::toWorker), clock, new Counters(),
+                configuration);
         types = configuration.settings.platform().types();
         parts.route.listed(Listing.read(configuration.known, configuration.known.length), false);
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(ascii("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
         for (String rest : new String[] {"\"started\"", "\"running\",\"share\":0.5",
-            "\"done\",\"load\":{\"x0\":1,\"depth\":0,\"x1\":2.5},\"result\":\"" + "result ".repeat(60) + '"'}) {
+            "\"done\",\"load\":{\"x0\":1,\"depth\":0,\"x1\":2.5},\"result\":\"" + "abc ".repeat(100) + '"'}) {
             String line = "{\"id\":\"" + TXN + "\",\"state\":" + rest + "}\n";
             out.writeBytes(ascii(Integer.toHexString(line.length()) + "\r\n" + line + "\r\n"));
         }
@@ -96,21 +97,24 @@
             }
 
             @Override
-            public void failed(String why) {
+            public void unreachable(String why) {
                 finish(why);
             }
         });
     }
 
-    private IoFuture<StreamConnection> toDoor(InetSocketAddress to, ChannelListener<StreamConnection> opened) {
+    private IoFuture<StreamConnection> toDoor(InetSocketAddress to,
+            ChannelListener<StreamConnection> opened) {
         return pipe(opened, parts.door::accepted);
     }
 
-    private IoFuture<StreamConnection> toWorker(InetSocketAddress to, ChannelListener<StreamConnection> opened) {
+    private IoFuture<StreamConnection> toWorker(InetSocketAddress to,
+            ChannelListener<StreamConnection> opened) {
         return pipe(opened, this::worker);
     }
 
-    private IoFuture<StreamConnection> pipe(ChannelListener<StreamConnection> here, ChannelListener<StreamConnection> there) {
+    private IoFuture<StreamConnection> pipe(ChannelListener<StreamConnection> here,
+            ChannelListener<StreamConnection> there) {
         try {
             ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
             thread.execute(() -> {
@@ -154,31 +158,11 @@
             finish("all played");
             return;
         }
-        String head = "POST /api/" + played % 7 + " HTTP/1.1\r\nHost: rehearsal\r\nX-Txn: " + TXN + "\r\nX-Lane: "
-                + types.get(played % types.size()) + "\r\nX-Remaining: 5.000\r\nX-Labels: slots=1,memory=0.5\r\n"
-                + "Idempotency-Key: " + played + "\r\nContent-Length: " + BODY.length + "\r\n\r\n";
+        String head = "POST /api/" + played % 7 + " HTTP/1.1\r\nHost: rehearsal\r\nX-Txn: " + TXN
+                + "\r\nX-Lane: " + types.get(played % types.size()) + "\r\nX-Remaining: 5.000\r\n"
+                + "X-Labels: slots=1,memory=0.5\r\nIdempotency-Key: " + played + "\r\nContent-Length: " + BODY.length + "\r\n\r\n";
         played++;
         client.exchange(new Heard() {
-            @Override
-            public boolean mayWrite() {
-                return true;
-            }
-
-            @Override
-            public void written() {
-                // Its answer counts.
-            }
-
-            @Override
-            public void head(Head head) {
-                // Any will do.
-            }
-
-            @Override
-            public void body(byte[] bytes, int from, int length) {
-                // Nobody reads it.
-            }
-
             @Override
             public void ended() {
                 thread.execute(Rehearsal.this::next);
@@ -201,7 +185,8 @@
             client.close();
         }
         parts.close();
-        Log.info("rehearsed", "tasks", played, "ms", Math.round(clock.now().since(began).millis()), "end", why);
+        long ms = Math.round(clock.now().since(began).millis());
+        Log.info("rehearsed", "tasks", played, "ms", ms, "end", why);
         done.run();
     }
 }
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -25,7 +25,7 @@
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
-/** A dispatcher on sockets, from its start to its end. All but these two happens on one I/O thread. */
+/** A dispatcher on sockets, from its start to its end. What happens between happens on one I/O thread. */
 public final class Serve {
     private static final int BUFFER = 16 * 1024;
     private static final int BUFFERS_KEPT = 256;
@@ -49,7 +49,7 @@
     /** Starts it, or throws with one line that says why not. */
     public Serve(Configuration configuration) throws IOException {
         this.configuration = configuration;
-        // XNIO would put beans into the platform's JMX server, which alone takes 0.15 s of CPU to start. With no
+        // XNIO would put beans into the platform's JMX server, which takes 0.15 s of CPU to start. With no
         // such server it goes on without; nobody here reads them, the counters are for that.
         System.setProperty("javax.management.builder.initial", "none");
         worker = Xnio.getInstance(Serve.class.getClassLoader()).createWorker(OptionMap.builder()
--- a/src/main/java/rampshift/settings/Configuration.java
+++ b/src/main/java/rampshift/settings/Configuration.java
@@ -17,8 +17,9 @@
 
 /** What a dispatcher on sockets is told at its start: the file that {@code NODE_CONFIG} names. */
 public final class Configuration {
+    private static final String OCTET = "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)";
     private static final Pattern ADDRESS = Pattern.compile(
-            "((?:OCTET\\.){3}OCTET|\\[[0-9a-fA-F:.]+\\]):(\\d{1,5})".replace("OCTET", "(?:25[0-5]|2[0-4]\\d|1?\\d?\\d)"));
+            "((?:OCTET\\.){3}OCTET|\\[[0-9a-fA-F:.]+\\]):(\\d{1,5})".replace("OCTET", OCTET));
     private static final long LARGEST = 1 << 22;
 
     public String name = "?";
--- a/src/main/java/rampshift/stages/Admit.java
+++ b/src/main/java/rampshift/stages/Admit.java
@@ -3,7 +3,7 @@
 import rampshift.counters.Counters;
 import rampshift.log.Log;
 
-/** Second stage: bounds what is in hand. Full, it bounces; nothing was sent for the task, so that is harmless. */
+/** Second stage: bounds what is in hand. Full, it bounces: harmless, since nothing was sent for the task. */
 public final class Admit {
     private final int mostTasks;
     private final long mostBytes;
--- a/src/main/java/rampshift/stages/InHand.java
+++ b/src/main/java/rampshift/stages/InHand.java
@@ -26,7 +26,8 @@
     int out;
     boolean closed;
 
-    InHand(long id, Call call, String txn, int type, String object, double width, double memory, Moment expiry) {
+    InHand(long id, Call call, String txn, int type, String object, double width, double memory,
+            Moment expiry) {
         this.id = id;
         this.call = call;
         this.txn = txn;
--- a/src/main/java/rampshift/stages/Route.java
+++ b/src/main/java/rampshift/stages/Route.java
@@ -88,7 +88,8 @@
     public void listed(Listing list, boolean remembered) {
         hear(() -> {
             boolean whole = list.whole() || remembered;
-            choice.listBegins(remembered ? Choice.List.REMEMBERED : whole ? Choice.List.WHOLE : Choice.List.CHANGES);
+            choice.listBegins(remembered ? Choice.List.REMEMBERED
+                    : whole ? Choice.List.WHOLE : Choice.List.CHANGES);
             if (whole) {
                 pool.beginWhole();
             }
@@ -96,8 +97,8 @@
                 long number = uids.number(t.uid());
                 boolean ready = t.state() == Target.State.READY;
                 pool.listed(number, t.uid(), t.address(), t.bootMs(), ready);
-                choice.listed(number, index(platform.zones(), t.zone()), t.cell(), index(platform.kinds(), t.kind()),
-                        ready, Moment.ofMillis(t.bootMs()), t.weight());
+                choice.listed(number, index(platform.zones(), t.zone()), t.cell(),
+                        index(platform.kinds(), t.kind()), ready, Moment.ofMillis(t.bootMs()), t.weight());
             }
             if (whole) {
                 pool.endWhole();
--- a/src/main/java/rampshift/stages/TakeIn.java
+++ b/src/main/java/rampshift/stages/TakeIn.java
@@ -25,7 +25,8 @@
     private final Admit next;
     private long ids;
 
-    public TakeIn(Settings settings, List<String> typeNames, Clock clock, Counters counters, Book book, Admit next) {
+    public TakeIn(Settings settings, List<String> typeNames, Clock clock, Counters counters, Book book,
+            Admit next) {
         this.settings = settings;
         this.clock = clock;
         this.counters = counters;
@@ -84,7 +85,8 @@
         // No client waits longer than its traffic type's expiry, whatever it says.
         Span most = settings.types.get(type).expiry();
         Span patience = left > most.millis() / 1000 ? most : Span.ofMillis(left * 1000);
-        next.task(new InHand(++ids, call, txn, type, object(call.path()), slots, memory, clock.now().plus(patience)));
+        next.task(new InHand(++ids, call, txn, type, object(call.path()), slots, memory,
+                clock.now().plus(patience)));
     }
 
     /** What the task is about: the path's last part, where it has one after the first. */
--- a/src/main/java/rampshift/workers/Assignment.java
+++ b/src/main/java/rampshift/workers/Assignment.java
@@ -92,7 +92,7 @@
     }
 
     @Override
-    public void failed(String why) {
+    public void unreachable(String why) {
         pool.counters.add(Counters.Name.DIAL_FAILED);
         end(Outcome.NO_CONNECTION, null);
     }
--- a/src/main/java/rampshift/workers/Pool.java
+++ b/src/main/java/rampshift/workers/Pool.java
@@ -36,9 +36,11 @@
     private final Map<Long, Place> places = new HashMap<>();
     private final Set<Errand> lingering = new LinkedHashSet<>();
     private int idle;
+    private boolean closed;
     private XnioExecutor.Key sweep;
 
-    public Pool(XnioIoThread thread, Dialer dialer, Clock clock, Platform platform, Counters counters, int most) {
+    public Pool(XnioIoThread thread, Dialer dialer, Clock clock, Platform platform, Counters counters,
+            int most) {
         this.thread = thread;
         this.dialer = dialer;
         this.clock = clock;
@@ -135,8 +137,8 @@
     }
 
     void giveBack(Place place, int life, Connection connection) {
-        // A connection that was out while its worker moved is to the old address: kept, it was used on and on.
-        if (!connection.usable() || !place.ready || life != place.life) {
+        // One that was out while its worker moved is to the old address: kept, it was used on and on.
+        if (closed || !connection.usable() || !place.ready || life != place.life) {
             connection.close();
             return;
         }
@@ -175,6 +177,7 @@
 
     /** Gives back the idle connections and the timer. */
     public void close() {
+        closed = true;
         sweep.remove();
         places.values().forEach(this::dropIdle);
     }
--- a/src/main/java/rampshift/workers/Probe.java
+++ b/src/main/java/rampshift/workers/Probe.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.TimeUnit;
 import org.xnio.XnioExecutor;
 import rampshift.connections.Head;
+import rampshift.log.Log;
+import rampshift.time.Span;
 
 /** Asks a worker how it is. Its answer, or that there is none in time, is told once. */
 final class Probe extends Errand {
@@ -28,8 +30,8 @@
     Probe(Pool pool, Place place, Told out) {
         super(pool, place);
         this.out = out;
-        timer = pool.thread.executeAfter(() -> end(false, null), pool.platform.dialTimeout().times(2).micros(),
-                TimeUnit.MICROSECONDS);
+        Span most = pool.platform.dialTimeout().times(2);
+        timer = pool.thread.executeAfter(() -> end(false, null), most.micros(), TimeUnit.MICROSECONDS);
     }
 
     @Override
@@ -38,23 +40,13 @@
         return new ByteBuffer[] {ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1))};
     }
 
-    @Override
-    public boolean mayWrite() {
-        return true;
-    }
-
-    @Override
-    public void written() {
-        // A probe may be sent again freely.
-    }
-
     @Override
     void noRoom() {
         end(false, null);
     }
 
     @Override
-    public void failed(String why) {
+    public void unreachable(String why) {
         end(false, null);
     }
 
@@ -78,7 +70,7 @@
             load = in.nextToken() == null ? null
                     : LoadReport.read(in, pool.platform.freeSlots(), pool.platform.freeMemory());
         } catch (IOException e) {
-            rampshift.log.Log.warn("odd-answer", "worker", place.uid, "what", "a probe's answer that is no JSON");
+            Log.warn("odd-answer", "worker", place.uid, "what", "a probe's answer that is no JSON");
         }
         end(status == 200, load);
     }
--- a/src/test/java/rampshift/connections/AnswerReaderTest.java
+++ b/src/test/java/rampshift/connections/AnswerReaderTest.java
@@ -67,16 +67,6 @@
         assertThrows(AnswerReader.Odd.class, () -> read("HTTP/1.1 200 OK\r\n" + "a: b\r\n".repeat(AnswerReader.MOST_FIELDS + 1)));
     }
 
-    @Override
-    public boolean mayWrite() {
-        return true;
-    }
-
-    @Override
-    public void written() {
-        // Not of interest here.
-    }
-
     @Override
     public void head(Head head) {
         said.append(head.status()).append(' ').append(head.field("X-Load")).append(' ');
