SIGHUP has the configuration read again and moves the watch at once

Checked: the log shows list-watch broken right after the old discovery address closed, and the JVM's own handler for SIGHUP runs the shutdown hooks, that is Serve.stop. At fault: Main.configured, which left SIGHUP to the JVM; Watch, whose address could not change. Change: SIGHUP wakes the main thread, which reads the file and hands it to the I/O thread; the watch drops its connection, forgets the version and asks the new address. Several in a row read the file once more, a bad file changes nothing.

--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.Map;
+import java.util.concurrent.Semaphore;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -13,13 +14,15 @@
 import rampshift.serve.Serve;
 import rampshift.settings.Configuration;
 import rampshift.settings.Malformed;
+import sun.misc.Signal;
 
 /** The command line: sub-commands, and what each is given. */
 public final class Main {
     private static final String HELP = """
             usage: rampshift [--help] [--version] COMMAND
 
-              serve      run a dispatcher on sockets, by the file that NODE_CONFIG names, until SIGTERM
+              serve      run a dispatcher on sockets, by the file that NODE_CONFIG names, until SIGTERM;
+                         SIGHUP: read the file again
               check      read that file and say whether serve could start with it
               counters   ask the dispatcher of that file what it has taken in, sent and answered
               rehearse   start without a configuration, warm up and stop: for the archive of loaded classes
@@ -76,16 +79,17 @@
 
     private static int configured(String command, Map<String, String> environment, PrintStream out,
             PrintStream err) {
+        Semaphore hangups = new Semaphore(0);
+        if (command.equals("serve")) {
+            // Left alone the JVM takes SIGHUP for a stop: a new configuration ended the dispatcher.
+            Signal.handle(new Signal("HUP"), s -> hangups.release());
+        }
         try {
             Configuration configuration = Configuration.read(environment);
             switch (command) {
                 case "check" -> out.println("good: " + configuration.name + " on " + configuration.listen);
                 case "counters" -> out.print(Ask.page(configuration.listen, "/counters"));
-                default -> {
-                    Serve serve = new Serve(configuration);
-                    Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
-                    serve.awaitEnd();
-                }
+                default -> serve(configuration, hangups, environment);
             }
             return 0;
         } catch (Malformed | IOException e) {
@@ -95,6 +99,22 @@
         }
     }
 
+    /** Runs it; on SIGHUP the file is read again, here, where nothing waits for the disk. */
+    private static void serve(Configuration configuration, Semaphore hangups, Map<String, String> environment)
+            throws IOException {
+        Serve serve = new Serve(configuration);
+        Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
+        while (!serve.ended()) {
+            hangups.acquireUninterruptibly();
+            hangups.drainPermits();     // several in a row: the file as it is now holds what all of them told
+            try {
+                serve.reload(Configuration.read(environment));
+            } catch (Malformed e) {
+                Log.warn("reload", "kept", "the configuration as it was", "why", e.getMessage());
+            }
+        }
+    }
+
     private static int rehearse() throws IOException {
         Serve serve = Serve.rehearsal();
         serve.awaitReady();
--- a/src/main/java/rampshift/discovery/Watch.java
+++ b/src/main/java/rampshift/discovery/Watch.java
@@ -29,7 +29,7 @@
 
     private final XnioIoThread thread;
     private final Dialer dialer;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Counters counters;
     private final Consumer<Listing> told;
     private Connection connection;
@@ -74,6 +74,16 @@
         }
     }
 
+    /** Goes on at another address, at once. What the old one counted as its version says nothing there. */
+    public void move(InetSocketAddress to) {
+        if (!stopped && !to.equals(address)) {
+            address = to;
+            version = -1;
+            drop();
+            start();
+        }
+    }
+
     public void stop() {
         stopped = true;
         drop();
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -4,6 +4,7 @@
 import io.undertow.server.DefaultByteBufferPool;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -125,6 +126,19 @@
         Log.flush();
     }
 
+    /**
+     * SIGHUP: goes on with the list service that the new configuration names. The rest of it holds from the
+     * next start on; no task, client or worker notices.
+     */
+    public void reload(Configuration next) {
+        List<String> atStart = configuration.restartFor(next);
+        thread.execute(() -> {
+            counters.add(Counters.Name.RELOADS);
+            Log.info("reload", "discovery", next.discovery, "wait_for_restart", atStart);
+            watch.move(next.discovery);
+        });
+    }
+
     private void lookForEnd(Moment least) {
         if (!clock.now().before(least) && parts.book.tasks() == 0 && parts.door.quietFor(NOBODY_NEW)) {
             watch.stop();
@@ -145,6 +159,10 @@
         await(ready);
     }
 
+    public boolean ended() {
+        return ended.getCount() == 0;
+    }
+
     /** Waits until it has stopped. */
     public void awaitEnd() {
         await(ended);
--- a/src/main/java/rampshift/settings/Configuration.java
+++ b/src/main/java/rampshift/settings/Configuration.java
@@ -11,6 +11,8 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -65,6 +67,24 @@
         return c;
     }
 
+    /** What the next one names otherwise and is only looked at when a dispatcher starts. */
+    public List<String> restartFor(Configuration next) {
+        List<String> names = new ArrayList<>();
+        if (!name.equals(next.name)) {
+            names.add("name");
+        }
+        if (!listen.equals(next.listen)) {
+            names.add("listen");
+        }
+        if (memoryMb != next.memoryMb || sockets != next.sockets) {
+            names.add("limits");
+        }
+        if (!settings.equals(next.settings)) {
+            names.add("settings");
+        }
+        return names;
+    }
+
     private void parse(byte[] bytes, Map<String, String> environment) throws IOException {
         String nodeName = environment.get("NODE_NAME");
         String listenText = environment.get("NODE_LISTEN");
--- a/src/main/java/rampshift/settings/SettingsReader.java
+++ b/src/main/java/rampshift/settings/SettingsReader.java
@@ -19,6 +19,16 @@
         root = object(in);
     }
 
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SettingsReader reader && root.equals(reader.root);
+    }
+
+    @Override
+    public int hashCode() {
+        return root.hashCode();
+    }
+
     public Settings read(long seed) {
         Settings s = new Settings();
         s.seed = seed;
--- a/src/test/java/rampshift/MainTest.java
+++ b/src/test/java/rampshift/MainTest.java
@@ -1,11 +1,17 @@
 package rampshift;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -13,6 +19,42 @@
     private final ByteArrayOutputStream out = new ByteArrayOutputStream();
     private final ByteArrayOutputStream err = new ByteArrayOutputStream();
 
+    /** Met on the first day with new configurations: SIGHUP ended the dispatcher, or left it stopping. */
+    @Test
+    void aHangupHasTheFileReadAgainAndTheDispatcherLives(@TempDir Path folder) throws Exception {
+        try (StandIns.Peer one = StandIns.Peer.discovery(List.of()); StandIns.Peer other = StandIns.Peer.discovery(List.of())) {
+            Path file = folder.resolve("config.json");
+            String limits = "{\"memory_mb\":192,\"sockets\":256}";
+            Files.writeString(file, StandIns.configuration(one, StandIns.list(true), limits));
+            Path log = folder.resolve("log");
+            ProcessBuilder builder = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-cp", System.getProperty("java.class.path"), "rampshift.Main", "serve").redirectError(log.toFile());
+            builder.environment().put("NODE_CONFIG", file.toString());
+            Process process = builder.start();
+            try {
+                StandIns.until("it watches", () -> one.received.size() > 0);
+                Files.writeString(file, "{half");
+                signal("HUP", process);
+                StandIns.until("a plain line", () -> Files.readString(log).contains(" WARN reload kept="));
+                Files.writeString(file, StandIns.configuration(other, StandIns.list(true), limits));
+                signal("HUP", process);
+                signal("HUP", process);
+                StandIns.until("it watches elsewhere", () -> other.received.size() > 0);
+                signal("TERM", process);
+                signal("HUP", process);
+                assertEquals(143, process.waitFor(), "it ends by SIGTERM alone");
+                assertTrue(Files.readString(log).contains(" INFO ended "), "and in good order");
+                assertFalse(Files.readString(log).contains("Exception"));
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void signal(String name, Process process) throws Exception {
+        assertEquals(0, new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
+    }
+
     @ParameterizedTest
     @CsvSource({"--help,0", "help,0", "--version,0", "version,0", "'',2", "nonsense,2", "--nonsense,2", "serve drill,2", "serve,2", "check,2"})
     void commandLinesEndAsTheHelpSays(String line, int status) throws Exception {
--- a/src/test/java/rampshift/StandIns.java
+++ b/src/test/java/rampshift/StandIns.java
@@ -240,8 +240,15 @@
         return "{\"rev\":REV,\"all\":" + whole + ",\"targets\":[" + String.join(",", entries) + "]}";
     }
 
-    /** A dispatcher that is ready, with the idempotent type look, sell that has side effects, and mark. */
+    /** A dispatcher that is ready. */
     public static Serve node(Peer discovery, String known, String limits) throws Exception {
+        Serve node = new Serve(Configuration.read(configuration(discovery, known, limits).getBytes(StandardCharsets.UTF_8)));
+        node.awaitReady();
+        return node;
+    }
+
+    /** A configuration with the idempotent type look, sell that has side effects, and mark. */
+    public static String configuration(Peer discovery, String known, String limits) {
         String settings = """
                 "Zones":["a"],"Kinds":["m"],"Zone":0,"PeersTotal":1,"FamilyInfo":{"TellsStart":true,
                 "ReportX0":"free slots"},"WeightSource":"live","Limits":{"Cancel":true,"SecondCopies":false,
@@ -251,12 +258,9 @@
                 {"Name":"mark","DueTimeMs":1000,"AimStretch":3,"ExpiryMs":5000,"Effect":"keyed","DedupScope":"cell","WindowMs":4000},
                 {"Name":"flash","DueTimeMs":200,"AimStretch":3,"ExpiryMs":600,"Effect":"unsafe"}]
                 """;
-        String text = "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
+        return "{\"name\":\"n\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:"
                 + (discovery == null ? 1 : discovery.port()) + "\",\"limits\":" + limits + ",\"known\":"
                 + known.replace("REV", "0") + ",\"settings\":{" + settings + "}}";
-        Serve node = new Serve(Configuration.read(text.getBytes(StandardCharsets.UTF_8)));
-        node.awaitReady();
-        return node;
     }
 
     /** A tiny fake host: a clock, a module, and what it decided, one line a decision. */
--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -10,6 +10,7 @@
 
 import java.io.Closeable;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -20,10 +21,12 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import rampshift.StandIns;
 import rampshift.StandIns.Line;
 import rampshift.StandIns.Message;
 import rampshift.StandIns.Peer;
 import rampshift.StandIns.Script;
+import rampshift.settings.Configuration;
 
 /** A whole dispatcher between clients, workers and discovery, all on loopback. */
 class ServeTest {
@@ -334,6 +337,37 @@
         until("nobody is left", () -> client().task("d" + System.nanoTime(), "look", "x").read().status() == 503);
     }
 
+    /** The version that the old service counted is far above the new one's, where it would hide all changes. */
+    @Test
+    void aNewConfigurationMovesTheWatchAndNoTaskNotices() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer first = worker((task, line) -> {
+            go.await();
+            line.done(task, "ok");
+        });
+        Peer second = worker(good());
+        List<String> old = new ArrayList<>(Collections.nCopies(5, list(true, first.entry("s-1", "in_service"))));
+        List<String> now = Collections.synchronizedList(new ArrayList<>(List.of(list(true, first.entry("s-1", "in_service")))));
+        Peer oldService = Peer.discovery(old);
+        Peer newService = Peer.discovery(now);
+        open.addAll(List.of(oldService, newService));
+        node = node(oldService, list(true), LIMITS);
+        until("the list", () -> client().write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").read().status() == 200);
+        Line waits = client().task("a", "sell", "x");
+        until("it is out", () -> first.received.size() == 1);
+        for (int i = 0; i < 3; i++) {
+            node.reload(Configuration.read(StandIns.configuration(newService, list(true), LIMITS).getBytes(StandardCharsets.UTF_8)));
+        }
+        until("the old watch has ended", () -> oldService.ended.size() == 1);
+        now.add(list(false, first.entry("s-1", "terminating"), second.entry("s-2", "in_service")));
+        until("the new service is followed", () -> newService.received.size() == 3);
+        assertEquals(200, client().task("b", "sell", "x").read().status());
+        assertEquals(1, second.received.size());
+        go.countDown();
+        assertEquals(200, waits.read().status());
+        assertEquals(3, count("reloads"));
+    }
+
     @Test
     void aListServiceThatTalksNonsenseIsAskedAgainAndTheListStays() throws Exception {
         Peer known = worker(good());
