--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -346,11 +346,15 @@
             line.done(task, "ok");
         });
         Peer second = worker(good());
-        List<String> old = new ArrayList<>(Collections.nCopies(5, list(true, first.entry("s-1", "in_service"))));
+        String old = list(true, first.entry("s-1", "in_service")).replace("REV", "5");
         List<String> now = Collections.synchronizedList(new ArrayList<>(List.of(list(true, first.entry("s-1", "in_service")))));
-        Peer oldService = Peer.discovery(old);
+        Peer oldService = worker((message, line) -> {
+            if (!message.first().contains("index=")) {
+                line.write("HTTP/1.1 200 OK\r\nContent-Length: " + old.length() + "\r\n\r\n" + old);
+            }
+        });
         Peer newService = Peer.discovery(now);
-        open.addAll(List.of(oldService, newService));
+        open.add(newService);
         node = node(oldService, list(true), LIMITS);
         until("the list", () -> client().write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n").read().status() == 200);
         Line waits = client().task("a", "sell", "x");
