Only whole and sound calls reach Undertow: clients' bytes are taken apart strictly

Both dispatchers sent a third of their tasks across although their own zone had room. Checked: the I/O thread's lag (13 times over 12 ms, 27 ms at most: not it), the counters, a trace of each task, then of what each placement believed: workers with two of five slots taken counted as queueing for 300 ms and more, because an assignment there had never begun. Those were tasks with an empty body that no usual client had sent, and workers never answered them. At fault: Undertow's ChunkReader takes a chunk size that is no number for the last chunk, and skips what is too long for a chunk; Door.handle checked neither. Also Door.HALF_HEAD of 10 s, FIRST_CALL only when crowded, a ByteArrayOutputStream as large as Content-Length says (one out-of-memory), closes with unread bytes. Change: a conduit under Undertow (Client, CallReader) reads calls by the letter and hands on one whole call at a time; the rest gets a 4xx/5xx, is read off and closed; 2.3 s for a whole call; silent and turned-down clients make room first.

--- a/src/main/java/rampshift/clients/Call.java
+++ b/src/main/java/rampshift/clients/Call.java
@@ -2,7 +2,6 @@
 
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.protocol.http.HttpServerConnection;
 import io.undertow.util.HeaderValues;
 import io.undertow.util.Headers;
 import io.undertow.util.HttpString;
@@ -11,7 +10,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import org.xnio.IoUtils;
-import org.xnio.conduits.StreamSourceConduit;
 
 /** One client that waits for its answer: what it sent, and the one place where it is answered. */
 public final class Call {
@@ -21,13 +19,15 @@
             Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.CONTENT_LENGTH, Headers.EXPECT);
 
     private final Door door;
+    private final Client client;
     private final HttpServerExchange exchange;
     private final byte[] body;
     private Runnable gone;
     private boolean over;
 
-    Call(Door door, HttpServerExchange exchange, byte[] body) {
+    Call(Door door, Client client, HttpServerExchange exchange, byte[] body) {
         this.door = door;
+        this.client = client;
         this.exchange = exchange;
         this.body = body;
     }
@@ -57,6 +57,10 @@
         return values == null || values.size() != 1 ? null : values.getFirst();
     }
 
+    public boolean has(String name) {
+        return exchange.getRequestHeaders().contains(name);
+    }
+
     /** Writes out the fields that go on to a worker, but for the one named. */
     public void passOn(StringBuilder to, String butFor) {
         for (HeaderValues values : exchange.getRequestHeaders()) {
@@ -73,36 +77,22 @@
     public void onGone(Runnable gone) {
         this.gone = gone;
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
-        StreamSourceConduit source = connection.getOriginalSourceConduit();
         // Only the listener is exchanged, and Undertow puts its own back once the exchange is over: with the
         // conduit's handler exchanged it did not, and every second task on a connection was never read.
-        connection.getChannel().getSourceChannel().setReadListener(c -> peek(connection, source));
-        source.resumeReads();
+        connection.getChannel().getSourceChannel().setReadListener(c -> peek(connection));
+        client.resumeReads();
     }
 
     /** Nothing is due from a client that waits: an end is its leaving, bytes are its next call, for later. */
-    private void peek(AbstractServerConnection connection, StreamSourceConduit source) {
-        if (over) {
-            source.suspendReads();
-            return;
-        }
-        var buffer = connection.getByteBufferPool().allocate();
+    private void peek(AbstractServerConnection connection) {
         try {
-            int count = source.read(buffer.getBuffer());
-            if (count > 0) {
-                source.suspendReads();
-                buffer.getBuffer().flip();
-                ((HttpServerConnection) connection).ungetRequestBytes(buffer);
-                buffer = null;
-            } else if (count < 0) {
+            if (over || client.full()) {
+                client.suspendReads();
+            } else if (client.gone()) {
                 IoUtils.safeClose(connection);
             }
         } catch (IOException e) {
             IoUtils.safeClose(connection);
-        } finally {
-            if (buffer != null) {
-                buffer.close();
-            }
         }
     }
 
@@ -116,18 +106,27 @@
         }
     }
 
+    /** What it sent behind its call is none: the call's length was wrong, and nothing more is done for it. */
+    void unsound(int status) {
+        Runnable told = gone;
+        if (answer(status, "what follows is no call") && told != null) {
+            told.run();
+        }
+    }
+
     /** False if the client has gone. {@code comeBackAfter} is in seconds, or null. */
     public boolean answer(int status, String comeBackAfter, byte[] bytes) {
         if (over) {
             return false;
         }
         over = true;
-        ((AbstractServerConnection) exchange.getConnection()).getOriginalSourceConduit().suspendReads();
+        client.suspendReads();
+        client.turnedDown = status >= 400 && status < 500;
         exchange.setStatusCode(status);
         if (comeBackAfter != null) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, comeBackAfter);
         }
-        if (door.stopping() || door.crowded()) {
+        if (client.ending() || door.stopping() || door.crowded()) {
             exchange.setPersistent(false);
         }
         exchange.setResponseContentLength(bytes.length);
--- /dev/null
+++ b/src/main/java/rampshift/clients/Client.java
@@ -0,0 +1,200 @@
+package rampshift.clients;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import org.xnio.StreamConnection;
+import org.xnio.channels.StreamSinkChannel;
+import org.xnio.conduits.AbstractStreamSourceConduit;
+import org.xnio.conduits.Conduits;
+import org.xnio.conduits.ConduitReadableByteChannel;
+import org.xnio.conduits.StreamSourceConduit;
+import rampshift.time.Moment;
+
+/**
+ * One client's connection, and how it stands. Its bytes pass here before Undertow reads them: only a call that
+ * is whole and sound is handed on, one at a time. What stalls or cannot be read never gets further.
+ */
+final class Client extends AbstractStreamSourceConduit<StreamSourceConduit> {
+    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
+
+    final StreamConnection connection;
+    private final Door door;
+    private final CallReader reader = new CallReader();
+    /** The call that is handed on to Undertow; null where none is in hand. */
+    private ByteBuffer given;
+    /** Bytes that came behind a whole call. */
+    private ByteBuffer behind = NOTHING;
+    /** Nothing more is read as a call: what comes is thrown away until the client has read its answer. */
+    private boolean ending;
+    /** Since when it has been as it is: connected, idle, sending a call, ending. */
+    Moment since;
+    /** When bytes last came while it was ending. */
+    Moment lastByte;
+    /** Bytes of a body that are kept free for it. */
+    int claim;
+    /** It has sent a whole call. */
+    boolean known;
+    /** Its last call was turned down. */
+    boolean turnedDown;
+    /** Whom to tell that it has gone, or sent what is no call behind a call. */
+    Call call;
+    boolean watched;
+
+    Client(Door door, StreamConnection connection, Moment now) {
+        super(connection.getSourceChannel().getConduit());
+        this.door = door;
+        this.connection = connection;
+        since = now;
+    }
+
+    /** A call is in hand, and its answer not wholly written. */
+    boolean busy() {
+        return given != null;
+    }
+
+    boolean ending() {
+        return ending;
+    }
+
+    /** It is on its way to send a call, or has sent none yet. */
+    boolean due() {
+        return !busy() && !ending && (!known || reader.begun());
+    }
+
+    boolean begun() {
+        return reader.begun();
+    }
+
+    /** The answer to the call in hand is written. */
+    void answered(Moment now, boolean last) {
+        given = null;
+        since = now;
+        if (last) {
+            end(now);
+        }
+    }
+
+    void end(Moment now) {
+        ending = true;
+        given = null;
+        behind = NOTHING;
+        since = now;
+        lastByte = now;
+    }
+
+    @Override
+    public int read(ByteBuffer to) throws IOException {
+        if (ending) {
+            return discard();
+        }
+        if (given == null || !given.hasRemaining()) {
+            int end = pull();
+            if (given == null || !given.hasRemaining()) {
+                return end;
+            }
+        }
+        int count = Math.min(to.remaining(), given.remaining());
+        int limit = given.limit();
+        to.put(given.limit(given.position() + count));
+        given.limit(limit);
+        return count;
+    }
+
+    /** Reads until a call is whole and none is in hand; then, or with nothing more to read, 0. At the end -1. */
+    private int pull() throws IOException {
+        try {
+            while (true) {
+                boolean before = reader.begun();
+                if (behind.hasRemaining()) {
+                    reader.take(behind);
+                } else if (!reader.whole()) {
+                    ByteBuffer scratch = door.scratch();
+                    int count = next.read(scratch);
+                    if (count <= 0) {
+                        return count;
+                    }
+                    reader.take(scratch.flip());
+                    keep(scratch);
+                }
+                if (!before && known && !busy()) {
+                    since = door.now();
+                }
+                door.claim(this, reader.claim());
+                if (reader.awaitsWord() && !busy()) {
+                    door.goOn(this);
+                }
+                if (reader.whole()) {
+                    if (busy()) {
+                        return 0;
+                    }
+                    given = reader.handOver();
+                    known = true;
+                    door.claim(this, 0);
+                    reader.take(behind);    // what is no call shows before this one is let through
+                    return 0;
+                }
+            }
+        } catch (CallReader.Unsound e) {
+            door.unsound(this, e.status, e.getMessage());
+            return 0;
+        }
+    }
+
+    private void keep(ByteBuffer rest) {
+        behind = !rest.hasRemaining() ? NOTHING
+                : ByteBuffer.allocate(rest.remaining()).put(rest).flip();
+    }
+
+    /** Bytes that nobody wants: unread ones would have the close swallow the answer. */
+    private int discard() throws IOException {
+        int count = next.read(door.scratch());
+        if (count > 0) {
+            lastByte = door.now();
+            return 0;
+        }
+        return count;
+    }
+
+    /** A further call waits for its turn: no more is read meanwhile. */
+    boolean full() {
+        return reader.whole() || behind.hasRemaining();
+    }
+
+    /** True if it has gone. */
+    boolean gone() throws IOException {
+        return (ending ? discard() : pull()) < 0;
+    }
+
+    @Override
+    public long read(ByteBuffer[] to, int from, int count) throws IOException {
+        for (int i = from; i < from + count; i++) {
+            if (to[i].hasRemaining()) {
+                return read(to[i]);
+            }
+        }
+        return 0;
+    }
+
+    @Override
+    public long transferTo(long position, long count, FileChannel target) throws IOException {
+        return target.transferFrom(new ConduitReadableByteChannel(this), position, count);
+    }
+
+    @Override
+    public long transferTo(long count, ByteBuffer through, StreamSinkChannel target) throws IOException {
+        return Conduits.transfer(this, count, through, target);
+    }
+
+    /** What was read ahead is told of like what the socket holds. */
+    @Override
+    public void resumeReads() {
+        boolean ready = !ending && (given != null && given.hasRemaining()
+                || given == null && full());
+        if (ready) {
+            next.wakeupReads();
+        } else {
+            next.resumeReads();
+        }
+    }
+}
--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -2,17 +2,16 @@
 
 import io.undertow.UndertowOptions;
 import io.undertow.connector.ByteBufferPool;
-import io.undertow.io.Receiver;
 import io.undertow.server.AbstractServerConnection;
 import io.undertow.server.HttpServerExchange;
-import io.undertow.server.RequestTooBigException;
-import io.undertow.server.handlers.HttpContinueReadHandler;
 import io.undertow.server.protocol.http.HttpOpenListener;
-import io.undertow.util.Headers;
 import io.undertow.util.Methods;
 import io.undertow.util.SameThreadExecutor;
+import io.undertow.util.StatusCodes;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -36,13 +35,17 @@
 
 /** Takes in clients: it owns the listening socket and all connections from them. */
 public final class Door {
-    private static final int LARGEST_BODY = 64 * 1024;
-    private static final int LARGEST_HEAD = 16 * 1024;
-    private static final int MOST_FIELDS = 64;
+    private static final byte[] GO_ON = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1);
     private static final int BACKLOG = 1024;
-    private static final Span HALF_HEAD = Span.ofMillis(10_000);
-    private static final Span FIRST_CALL = Span.ofMillis(1000);   // that a new client has to send something
-    private static final Span SWEEP = Span.ofMillis(100);
+    private static final int SCRATCH = 16 * 1024;
+    private static final Span WHOLE_CALL = Span.ofMillis(2300);   // a call must be whole by then
+    private static final Span WELL_KNOWN = Span.ofMillis(100);    // a good client's idling before it makes room
+    private static final Span NEW = Span.ofMillis(30);            // that any client has to say something
+    private static final Span TURNED_DOWN = Span.ofMillis(1000);  // that one stays whose last call was
+    private static final Span QUIET_END = Span.ofMillis(500);     // no more bytes: it has read its answer
+    private static final Span LONGEST_END = Span.ofMillis(5000);
+    private static final Span SWEEP = Span.ofMillis(50);
+    private static final int ENDS_READ = 16;                      // pieces at a time of what nobody wants
 
     private final XnioIoThread thread;
     private final Clock clock;
@@ -50,28 +53,19 @@
     private final int most;
     private final int spare;
     private final long mostReceiving;
+    private final Span mostIdle;
     private final Intake intake;
+    private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH);
     private final HttpOpenListener http;
     private final Map<String, Supplier<Page>> pages = new HashMap<>();
-    /** All open connections, the one that idles longest first. */
-    private final LinkedHashMap<StreamConnection, Client> open = new LinkedHashMap<>(64, 0.75f, true);
+    /** All open connections, in the order in which they came. */
+    private final LinkedHashMap<StreamConnection, Client> open = new LinkedHashMap<>();
     private AcceptingChannel<StreamConnection> socket;
     private XnioExecutor.Key sweep;
     private long receiving;
     private Moment lastNew;
     private boolean stopping;
 
-    /** What is on a client's connection. */
-    private static final class Client {
-        Moment idleSince;
-        /** A call came and its answer is not wholly written. */
-        boolean busy;
-        /** Bytes of a body that is coming in. */
-        int receiving;
-        boolean watched;
-        Call call;
-    }
-
     /** Who is handed the clients' calls. */
     public interface Intake {
         void taken(Call call);
@@ -93,18 +87,19 @@
         this.most = most;
         this.spare = spare;
         this.mostReceiving = mostReceiving;
+        this.mostIdle = mostIdle;
         this.intake = intake;
+        // Undertow reads only what has passed CallReader, whose bounds are the narrower ones.
         http = new HttpOpenListener(buffers, OptionMap.builder()
-                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) LARGEST_BODY)
-                .set(UndertowOptions.MAX_HEADER_SIZE, LARGEST_HEAD)
-                .set(UndertowOptions.MAX_HEADERS, MOST_FIELDS)
-                .set(UndertowOptions.REQUEST_PARSE_TIMEOUT, (int) HALF_HEAD.millis())
-                .set(UndertowOptions.IDLE_TIMEOUT, (int) mostIdle.millis())
+                .set(UndertowOptions.MAX_ENTITY_SIZE, (long) CallReader.LARGEST)
+                .set(UndertowOptions.MAX_HEADER_SIZE, 2 * CallReader.LARGEST_HEAD)
+                .set(UndertowOptions.MAX_HEADERS, 2 * CallReader.MOST_FIELDS)
+                .set(UndertowOptions.MAX_PARAMETERS, CallReader.LARGEST_HEAD)
                 .set(UndertowOptions.DECODE_URL, false)
                 .set(UndertowOptions.ALWAYS_SET_DATE, false)
                 .set(UndertowOptions.ALWAYS_SET_KEEP_ALIVE, false)
                 .getMap());
-        http.setRootHandler(new HttpContinueReadHandler(this::handle));
+        http.setRootHandler(this::handle);
         sweepLater();
     }
 
@@ -137,12 +132,10 @@
     public void accepted(StreamConnection connection) {
         counters.add(Counters.Name.CLIENT_CONNECTIONS);
         lastNew = clock.now();
-        Client client = new Client();
-        client.idleSince = lastNew;
+        Client client = new Client(this, connection, lastNew);
+        connection.getSourceChannel().setConduit(client);
         open.put(connection, client);
-        if (crowded()) {
-            makeRoom();
-        }
+        makeRoom();
         http.handleEvent(connection);
     }
 
@@ -151,44 +144,161 @@
         return open.size() > most;
     }
 
-    /** A connection may be closed between calls: the ones that have idled longest go, not those just come. */
+    /**
+     * First go clients that have had their answer, then those that have said nothing whole, the longest here
+     * first: hundreds of silent ones held all places while usual clients waited in the backlog. Then such as
+     * idle between calls. One that has just come has a moment to speak.
+     */
     private void makeRoom() {
-        sweep();
+        if (!crowded()) {
+            return;
+        }
+        open.values().removeIf(c -> !c.connection.isOpen());
         Moment now = clock.now();
-        for (Map.Entry<StreamConnection, Client> e : new ArrayList<>(open.entrySet())) {
-            if (!crowded()) {
-                return;
+        while (crowded()) {
+            Client least = null;
+            for (Client c : open.values()) {
+                if (mayGo(c, now) && (least == null || rank(c) < rank(least)
+                        || rank(c) == rank(least) && c.since.before(least.since))) {
+                    least = c;
+                }
             }
-            Client client = e.getValue();
-            Span least = client.watched ? SWEEP : FIRST_CALL;
-            if (!client.busy && now.since(client.idleSince).longerThan(least)) {
-                Log.warn("clients-full", "connections", open.size());
-                counters.add(Counters.Name.CLIENT_CONNECTIONS_CLOSED_FOR_ROOM);
-                closeIdle(e.getKey());
+            if (least == null) {
+                return;
             }
+            Log.warn("clients-full", "connections", open.size());
+            counters.add(Counters.Name.CLIENT_CONNECTIONS_CLOSED_FOR_ROOM);
+            close(least);
         }
     }
 
-    private void closeIdle(StreamConnection connection) {
-        open.remove(connection);
-        IoUtils.safeClose(connection);
+    private static int rank(Client c) {
+        return c.ending() ? 0 : c.known && c.turnedDown && !c.begun() ? 1 : !c.known ? 2 : 3;
+    }
+
+    private static boolean mayGo(Client c, Moment now) {
+        return !c.busy() && now.since(c.since).longerThan(rank(c) == 3 ? WELL_KNOWN : NEW);
+    }
+
+    /** The one place where a client's connection is given back, but for those that it has ended itself. */
+    private void close(Client client) {
+        open.remove(client.connection);
+        release(client);
+        IoUtils.safeClose(client.connection);
     }
 
-    /** Those that ended without any call. */
+    /** Whoever has had its time: silent, stalled within a call, turned away, or long idle. */
     private void sweep() {
-        open.keySet().removeIf(c -> !c.isOpen());
+        Moment now = clock.now();
+        for (Client c : new ArrayList<>(open.values())) {
+            Span been = now.since(c.since);
+            if (!c.connection.isOpen()) {
+                close(c);
+            } else if (c.busy()) {
+                continue;
+            } else if (c.ending()) {
+                if (been.longerThan(LONGEST_END) || now.since(c.lastByte).longerThan(QUIET_END)) {
+                    close(c);
+                }
+            } else if (c.due() && been.longerThan(WHOLE_CALL)) {
+                if (c.begun()) {
+                    unsound(c, 408, "half a call, and no more of it");
+                } else {
+                    counters.add(Counters.Name.CLIENTS_SILENT);
+                    close(c);
+                }
+            } else if (been.longerThan(c.turnedDown ? TURNED_DOWN : mostIdle)) {
+                close(c);
+            }
+        }
+        makeRoom();
     }
 
     private void sweepLater() {
         sweep = thread.executeAfter(() -> {
             sweep();
-            if (crowded()) {
-                makeRoom();
-            }
             sweepLater();
         }, SWEEP.micros(), TimeUnit.MICROSECONDS);
     }
 
+    // ---- for clients
+
+    Moment now() {
+        return clock.now();
+    }
+
+    /** For one read; nothing stays in it. */
+    ByteBuffer scratch() {
+        return scratch.clear();
+    }
+
+    /** Keeps room for a body that is coming in, or gives it back. */
+    void claim(Client client, int bytes) throws CallReader.Unsound {
+        receiving += bytes - client.claim;
+        client.claim = bytes;
+        if (bytes > 0 && receiving > mostReceiving) {
+            // Hundreds of clients that stall within large bodies would fill the memory.
+            throw new CallReader.Unsound(503, "too many bodies are coming in");
+        }
+    }
+
+    private void release(Client client) {
+        receiving -= client.claim;
+        client.claim = 0;
+    }
+
+    /** The word that a client waits for before it sends its body. */
+    void goOn(Client client) throws IOException {
+        client.connection.getSinkChannel().write(ByteBuffer.wrap(GO_ON));
+    }
+
+    /** What it sent can't be taken as a call. It gets an answer, and is read off until it has read that. */
+    void unsound(Client client, int status, String why) {
+        counters.add(Counters.Name.TURNED_DOWN);
+        Log.warn("turned-down", "status", status, "why", why);
+        Call call = client.call;
+        client.end(clock.now());
+        release(client);
+        if (call != null) {
+            call.unsound(status);
+        } else {
+            // Not from within Undertow's reading, which would set its own listener once more.
+            thread.execute(() -> turnAway(client, status, why));
+        }
+    }
+
+    /** Unread bytes at a close make a reset, and that may swallow the answer: so they are read first. */
+    private void turnAway(Client client, int status, String why) {
+        if (!client.connection.isOpen()) {
+            return;
+        }
+        String answer = "HTTP/1.1 " + status + " " + StatusCodes.getReason(status) + "\r\nConnection: close\r\n"
+                + "Content-Length: " + (why.length() + 1) + "\r\n\r\n" + why + "\n";
+        try {
+            client.connection.getSourceChannel().setReadListener(c -> readOff(client));
+            client.connection.getSinkChannel().write(
+                    ByteBuffer.wrap(answer.getBytes(StandardCharsets.ISO_8859_1)));
+            client.connection.getSinkChannel().shutdownWrites();
+            client.connection.getSinkChannel().flush();
+            client.connection.getSourceChannel().resumeReads();
+        } catch (IOException e) {
+            close(client);
+        }
+    }
+
+    private void readOff(Client client) {
+        try {
+            for (int i = 0; i < ENDS_READ; i++) {
+                if (client.gone()) {
+                    close(client);
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            close(client);
+        }
+    }
+
     private void handle(HttpServerExchange exchange) {
         Client client = client(exchange);
         Supplier<Page> page = pages.get(exchange.getRequestURI());
@@ -199,57 +309,36 @@
             exchange.getResponseSender().send(p.text());
             return;
         }
-        String coding = exchange.getRequestHeaders().getFirst(Headers.TRANSFER_ENCODING);
-        if (coding != null && !coding.equalsIgnoreCase("chunked")) {
-            // Undertow reads such a body until the client closes: the client would wait forever.
-            turnDown(exchange, 501);
-            return;
-        }
-        long size = exchange.getRequestContentLength();
-        client.receiving = size < 0 || size > LARGEST_BODY ? LARGEST_BODY : (int) size;
-        receiving += client.receiving;
-        if (receiving > mostReceiving) {
-            // Hundreds of clients that stall within large bodies would fill the memory.
-            turnDown(exchange, 503);
-            return;
-        }
-        Receiver body = exchange.getRequestReceiver();
-        body.receiveFullBytes((e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> {
-            received(client);
-            client.call = new Call(this, e, bytes);
-            intake.taken(client.call);
-        }), this::unread);
+        exchange.getRequestReceiver().receiveFullBytes(
+                (e, bytes) -> e.dispatch(SameThreadExecutor.INSTANCE, () -> {
+                    client.call = new Call(this, client, e, bytes);
+                    intake.taken(client.call);
+                }), (e, why) -> {
+                    e.setPersistent(false);
+                    e.setStatusCode(400);
+                    e.endExchange();
+                });
     }
 
-    /** Gives back its part of what may be received at a time. */
-    private void received(Client client) {
-        receiving -= client.receiving;
-        client.receiving = 0;
-    }
-
-    /** Marks its connection as busy until the whole answer is written. */
+    /** Its connection is looked after until the whole answer is written. */
     private Client client(HttpServerExchange exchange) {
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
-        StreamConnection channel = connection.getChannel();
-        Client client = open.computeIfAbsent(channel, c -> new Client());
-        client.busy = true;
+        Client client = open.get(connection.getChannel());
         if (!client.watched) {
             client.watched = true;
-            connection.addCloseListener(c -> ended(channel, client));
+            connection.addCloseListener(c -> ended(client));
         }
         exchange.addExchangeCompleteListener((e, next) -> {
-            received(client);
-            client.busy = false;
-            client.idleSince = clock.now();
             client.call = null;
+            client.answered(clock.now(), !e.isPersistent());
             next.proceed();
         });
         return client;
     }
 
-    private void ended(StreamConnection channel, Client client) {
-        open.remove(channel);
-        received(client);
+    private void ended(Client client) {
+        open.remove(client.connection);
+        release(client);
         Call call = client.call;
         client.call = null;
         if (call != null) {
@@ -257,20 +346,6 @@
         }
     }
 
-    private void unread(HttpServerExchange exchange, IOException why) {
-        turnDown(exchange, why instanceof RequestTooBigException
-                || why instanceof Receiver.RequestToLargeException ? 413 : 400);
-    }
-
-    /** What was not read to its end leaves the connection in no known state. */
-    private void turnDown(HttpServerExchange exchange, int status) {
-        counters.add(Counters.Name.TURNED_DOWN);
-        Log.warn("turned-down", "status", status, "why", "a body that cannot be taken");
-        exchange.setPersistent(false);
-        exchange.setStatusCode(status);
-        exchange.getResponseSender().send("a body that cannot be taken\n");
-    }
-
     boolean stopping() {
         return stopping;
     }
@@ -283,9 +358,9 @@
     }
 
     private void closeAllIdle() {
-        for (Map.Entry<StreamConnection, Client> e : new ArrayList<>(open.entrySet())) {
-            if (!e.getValue().busy) {
-                closeIdle(e.getKey());
+        for (Client c : new ArrayList<>(open.values())) {
+            if (!c.busy()) {
+                close(c);
             }
         }
     }
--- a/src/main/java/rampshift/stages/TakeIn.java
+++ b/src/main/java/rampshift/stages/TakeIn.java
@@ -3,10 +3,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.regex.Pattern;
 import rampshift.clients.Call;
 import rampshift.clients.Door;
 import rampshift.counters.Counters;
 import rampshift.decide.Settings;
+import rampshift.decide.TrafficType;
 import rampshift.log.Log;
 import rampshift.time.Clock;
 import rampshift.time.Span;
@@ -14,7 +16,9 @@
 /** First stage: makes a task of a client's call, or turns it down with a plain 4xx. */
 public final class TakeIn implements Door.Intake {
     static final String REMAINING = "X-Remaining";
-    private static final int LONGEST_ID = 200;
+    private static final Pattern ID = Pattern.compile("[!-~]{1,200}");
+    private static final Pattern NUMBER = Pattern.compile("\\d{1,12}(\\.\\d{1,12})?");
+    private static final double LONGEST_WAIT_S = 24 * 3600;
     private static final double MOST_FIGURE = 1e6;
 
     private final Settings settings;
@@ -44,8 +48,8 @@
             return;
         }
         String txn = call.field("X-Txn");
-        if (txn == null || txn.isEmpty() || txn.length() > LONGEST_ID) {
-            turnDown(call, 400, "X-Txn is missing or too long");
+        if (txn == null || !ID.matcher(txn).matches()) {
+            turnDown(call, 400, "X-Txn is missing, there twice, too long, or holds blanks");
             return;
         }
         if (book.holds(txn)) {
@@ -59,18 +63,27 @@
             return;
         }
         double left = number(call.field(REMAINING));
-        if (!(left > 0)) {
-            turnDown(call, 400, "X-Remaining is missing or not a number of seconds above 0");
+        if (!(left > 0 && left <= LONGEST_WAIT_S)) {
+            turnDown(call, 400, "X-Remaining is missing or not a sensible number of seconds above 0");
             return;
         }
         double slots = 1;
         double memory = 0;
         String labels = call.field("X-Labels");
+        if (labels == null && call.has("X-Labels")) {
+            turnDown(call, 400, "X-Labels stands there twice");
+            return;
+        }
+        if (settings.types.get(type).effect() == TrafficType.Effect.FINGERPRINTED
+                && call.field("Idempotency-Key") == null) {
+            turnDown(call, 400, "Idempotency-Key is missing or there twice");
+            return;
+        }
         if (labels != null) {
             for (String label : labels.split(",")) {
                 int equals = label.indexOf('=');
                 String name = equals < 0 ? "" : label.substring(0, equals).trim();
-                double value = equals < 0 ? Double.NaN : number(label.substring(equals + 1));
+                double value = equals < 0 ? Double.NaN : number(label.substring(equals + 1).trim());
                 boolean sensible = value >= 0 && value <= MOST_FIGURE;
                 if (name.equals("slots") && sensible) {
                     slots = value;
@@ -95,12 +108,9 @@
         return last > 0 && last + 1 < path.length() ? path.substring(last + 1) : null;
     }
 
+    /** Plain decimal digits; NaN for all else that Java would take for a number. */
     private static double number(String text) {
-        try {
-            return text == null || text.length() > 30 ? Double.NaN : Double.parseDouble(text.trim());
-        } catch (NumberFormatException e) {
-            return Double.NaN;
-        }
+        return text != null && NUMBER.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
     }
 
     private void turnDown(Call call, int status, String why) {
--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -227,6 +227,11 @@
         "400 | X-Txn: t                  | X-Lane: look | X-Remaining: -1",
         "400 | X-Txn: t                  | X-Lane: look | X-Remaining: NaN",
         "400 | X-Txn: t                  | X-Lane: look | X-Remaining: soon",
+        "400 | X-Txn: t                  | X-Lane: look | X-Remaining: 0x1p3",
+        "400 | X-Txn: t                  | X-Lane: look | X-Remaining: 5e3",
+        "400 | X-Txn: t                  | X-Lane: look | X-Remaining: 99999999",
+        "400 | X-Txn: t u                | X-Lane: look | X-Remaining: 5",
+        "400 | X-Txn: t                  | X-Lane: mark | X-Remaining: 5",
         "400 | X-Nothing: 1              | X-Lane: look | X-Remaining: 5",
         "400 | X-Txn: t                  | X-Txn: u     | X-Remaining: 5",
         "400 | X-Labels: slots=1e99      | X-Lane: look | X-Remaining: 5",
@@ -256,6 +261,59 @@
         assertEquals(200, client().task("good", "look", "x").read().status());
     }
 
+    /** Met with bad clients: such calls went to workers, stalled until their senders left, or ended in a reset. */
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "400 | Transfer-Encoding: chunked | zz~abc~0~~",
+        "400 | Content-Length: 3          | abcdef",
+        "413 | Content-Length: 60000000   | BIG",
+        "408 | Content-Length: 600        | half",
+        "408 | X-More:                    | HALF HEAD",
+    })
+    void whatIsNotWholeAndSoundGetsAnErrorInTimeAndReachesNoWorker(int status, String length, String body) throws Exception {
+        Peer worker = worker(good());
+        serve(worker.entry("s-1", "in_service"));
+        long begun = System.nanoTime();
+        String end = body.equals("HALF HEAD") ? "" : "\r\n\r\n" + (body.equals("BIG") ? "x".repeat(60_000_000) : body.replace("~", "\r\n"));
+        Line client = client().write("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: t\r\nX-Lane: look\r\nX-Remaining: 5\r\n" + length + end);
+        assertEquals(status, client.read().status());
+        assertTrue(client.ended());
+        assertTrue(System.nanoTime() - begun < 3_000_000_000L, "in time");
+        assertEquals(200, client().task("good", "look", "x").read().status());
+        assertEquals(1, worker.received.size(), "nothing of the bad one was sent");
+    }
+
+    @Test
+    void bytesBehindACallThatIsUnderWayEndIt() throws Exception {
+        Peer worker = worker((task, line) -> { });
+        serve(worker.entry("s-1", "in_service"));
+        Line client = client().task("t", "sell", "x");
+        until("it is out", () -> worker.received.size() == 1);
+        assertEquals(400, client.write("and more").read().status());
+        until("the worker's connection ended", () -> worker.ended.size() == 1);
+    }
+
+    /** Met with 300 silent clients at a time: usual ones waited behind them for seconds. */
+    @Test
+    void silentClientsLeaveRoomAtOnceAndAreClosedInTime() throws Exception {
+        Peer worker = worker(good());
+        serve(worker.entry("s-1", "in_service"));
+        Line usual = client();
+        assertEquals(200, usual.task("a", "look", "x").read().status());
+        List<Line> silent = new ArrayList<>();
+        for (int i = 0; i < 300; i++) {
+            silent.add(client());
+        }
+        long begun = System.nanoTime();
+        assertEquals(200, client().task("b", "look", "x").read().status());
+        assertTrue(System.nanoTime() - begun < 1_000_000_000L, "it did not wait for them");
+        assertEquals(200, usual.task("c", "look", "x").read().status(), "nor was a known one closed for them");
+        for (Line line : silent) {
+            assertTrue(line.ended());
+        }
+        assertTrue(System.nanoTime() - begun < 3_000_000_000L, "in time");
+    }
+
     @Test
     void aTaskThatIsInHandIsNotTakenTwice() throws Exception {
         Peer worker = worker((task, line) -> { });
@@ -362,7 +420,7 @@
         for (int i = 0; i < 3; i++) {
             node.reload(Configuration.read(StandIns.configuration(newService, list(true), LIMITS).getBytes(StandardCharsets.UTF_8)));
         }
-        until("the old watch has ended", () -> oldService.ended.size() == 1);
+        until("the old watch has ended, the new one begun", () -> oldService.ended.size() == 1 && newService.received.size() == 2);
         now.add(list(false, first.entry("s-1", "terminating"), second.entry("s-2", "in_service")));
         until("the new service is followed", () -> newService.received.size() == 3);
         assertEquals(200, client().task("b", "sell", "x").read().status());
