--- a/src/test/java/rampshift/MainTest.java
+++ b/src/test/java/rampshift/MainTest.java
@@ -51,6 +51,21 @@
         }
     }
 
+    /** The heap was 88 MB whatever the limit: with 64 MB granted a flood could have had the process killed. */
+    @ParameterizedTest
+    @CsvSource({"'\"limits\":{\"memory_mb\":64,\"sockets\":256}',-Xmx28m", "'{\"memory_mb\" : 192.0}',-Xmx86m", "'',-Xmx86m"})
+    void theHeapFollowsTheMemoryThatTheConfigurationGrants(String config, String heap, @TempDir Path folder) throws Exception {
+        Files.writeString(folder.resolve("config.json"), config);
+        Path java = folder.resolve("java");
+        Files.writeString(java, "#!/bin/sh\necho \"$@\"\n");
+        assertTrue(java.toFile().setExecutable(true));
+        ProcessBuilder builder = new ProcessBuilder("sh", "deploy/serve.sh");
+        builder.environment().put("PATH", folder + ":" + System.getenv("PATH"));
+        builder.environment().put("NODE_CONFIG", folder.resolve("config.json").toString());
+        String told = new String(builder.start().getInputStream().readAllBytes());
+        assertTrue(told.contains(" " + heap + " ") && told.trim().endsWith(" serve"), told);
+    }
+
     private static void signal(String name, Process process) throws Exception {
         assertEquals(0, new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor());
     }
