Time left tells of a retry only where as many tasks were turned away

The module takes a task with 1.6 of 5 s left for one that was first asked 3.4 s ago, hence hopeless. At fault: Choice.arrived (firstAt), Choice.allowed. Change: such a task counts as first asked now while far more of them come than were given up here in time; allowed ends with the task's own expiry. Also: the story of the stop no longer hangs on how a 10 ms task is predicted.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -19,8 +19,7 @@
  * The mechanism is Redundant-to-Idle-Queue; docs/design.md tells what was kept, changed and why.
  */
 public final class Choice {
-    // The draw. D candidates: half of the own zone and half from elsewhere, where there are both.
-    private static final int D = 6;
+    private static final int D = 6;                     // drawn: half of the own zone, half from elsewhere
     private static final int ASK = 2;                   // candidates tested at a time
     private static final int OBJECTS = 64;              // last tasks that tell an object's part of them
     private static final double HOME_ROOM = 2;          // homes an object, in its part of all workers
@@ -48,6 +47,7 @@
     private static final int BAD_LEAST = 2;
     private static final double SILENCE = 4;            // predicted spans without a word
     private static final double CUT = 4;                // mean runs until a zone cut off is tried again
+    private static final double FAR_MORE = 2;           // times
     private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
     private static final double OVERDUE = 2;            // runs after which a running task counts as slow
     private static final int SHOWN = 4;                 // finished tasks that tell what a cold worker can do
@@ -77,6 +77,8 @@
     private final Samples anyWork = new Samples(64);
     private final Samples[] fleetLoad = Samples.rows(2, 64);       // of room, own side and elsewhere
     private final Samples earningsAsked = new Samples(64);
+    private final Samples cameLate = new Samples(32);              // 1: by the time it had left
+    private final Samples turnedAway = new Samples(32);            // 1: given up though it came in time
     private final ArrayDeque<String> objects = new ArrayDeque<>(); // of the last tasks
     private final Samples elsewhere = new Samples(2);              // 1: no connection to another zone
     private Moment cutUntil;
@@ -147,6 +149,11 @@
         if (hint.micros() > 0) {
             anyWork.put(hint.millis());     // every arrival tells, not only the few that finished here
         }
+        // Late by the time left: a retry, or a client of little patience. Where far more come so than were
+        // turned away they are no retries; bounced as hopeless, two thirds of the tasks were lost.
+        t.late = allowed(t).micros() < 0;
+        t.firstAt = t.late && cameLate.mean(0) > FAR_MORE * turnedAway.mean(0) ? now : first;
+        cameLate.put(t.late ? 1 : 0);
         earningsAsked.put(earnings(t));
         if (object != null && objects.add(object) && objects.size() > OBJECTS) {
             objects.remove();
@@ -177,10 +184,6 @@
         }
     }
 
-    private boolean blind(Task t) {
-        return t.luck > reportsHeld.mean(1);
-    }
-
     public void progressed(long id, int number, double share) {
         Assignment a = assignment(id, number);
         if (a != null) {
@@ -253,14 +256,14 @@
             word(w);
         }
         if (terminal) {
+            turnedAway.put(0);
+        }
+        if (terminal || t.closed) {
             close(t);
-        } else if (!t.closed && t.open == 0) {
+        } else if (t.open == 0) {
             t.newDraw();
             queue(t);
         }
-        if (t.closed && t.open == 0) {
-            tasks.remove(id);
-        }
     }
 
     public void clientLeft(long id) {
@@ -400,7 +403,7 @@
     }
 
     private Span run(Worker w, Task t) {
-        return work(t).times(1 / speed(w)).plus(setup().times(missing(t, w)));
+        return work(t).times(1 / speed(w)).plus(meanWork().times(SETUP * missing(t, w)));
     }
 
     /** How likely the worker is to lack the task's object. Other dispatchers send it to its homes too. */
@@ -414,11 +417,6 @@
         return place > t.homes ? 1 : place == t.homes ? 0.5 + 0.5 * alone : alone;
     }
 
-    /** What it costs to fetch an object that the worker does not keep. */
-    private Span setup() {
-        return meanWork().times(SETUP);
-    }
-
     private double room(Worker w) {
         // Few reports of its own yet: others of its kind tell, or the weight in the list.
         double begun = w.begunWidth();
@@ -478,7 +476,8 @@
     }
 
     private Span allowed(Task t) {
-        return t.firstAt.plus(t.type.due()).plus(work(t).times(t.type.stretch())).since(now);
+        Moment due = t.firstAt.plus(t.type.due()).plus(work(t).times(t.type.stretch()));
+        return due.orEarlier(t.expiry).since(now);
     }
 
     private double earnings(Task t) {
@@ -502,7 +501,7 @@
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
         // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
-        double fetch = missing(t, w) * FETCH * setup().over(meanWork());
+        double fetch = missing(t, w) * FETCH * SETUP;
         // A task that queues delays all behind it, the more the longer it runs and the longer the queue.
         double delay = DELAY * earningsAsked.mean(1) * work(t).over(meanWork()) * t.width
                 * wait.over(wait.plus(meanWork()));
@@ -582,7 +581,7 @@
         }
         t.drawn.forEach(w -> w.probeSilent |= w.asking.remove(t));   // silence in the short wait means busy
         t.echoesDue = 0;
-        blind = blind(t);
+        blind = t.luck > reportsHeld.mean(1);
         Worker best = null;
         double most = 0;
         for (Worker w : t.drawn.subList(0, t.tested)) {
@@ -722,7 +721,7 @@
     private void ask(Task t) {
         int from = t.tested;
         // Live weights of the list tell as much, and cost nothing.
-        boolean probes = settings.mayProbe && !settings.liveWeights && !blind(t);
+        boolean probes = settings.mayProbe && !settings.liveWeights && t.luck <= reportsHeld.mean(1);
         t.tested = probes ? Math.min(from + ASK, t.drawn.size()) : t.drawn.size();
         if (!probes) {
             return;
@@ -868,6 +867,7 @@
     /** The one place of final answers from here: bounced where that is lawful, else abandoned. */
     private boolean giveUp(Task t, Decisions out) {
         boolean bounce = mayBounce(t);
+        turnedAway.put(t.late ? 0 : 1);
         close(t);
         if (bounce) {
             out.bounce(t.id, settings.comeBackAdvice
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -15,12 +15,14 @@
     final double width;
     final double memory;
     /** When the client first asked, as far as the time it has left tells. */
-    final Moment firstAt;
+    Moment firstAt;
     final Moment expiry;
     final ArrayList<Assignment> sent = new ArrayList<>();
     final ArrayList<Worker> drawn = new ArrayList<>();
     final ArrayDeque<Worker> toProbe = new ArrayDeque<>();
     final ArrayDeque<Worker> copies = new ArrayDeque<>();
+    /** It came too late to end in time, by the time it had left. */
+    boolean late;
     /** The part of its earnings that its tenant's traffic beyond the share takes off. */
     double excess;
     int draws;
--- a/src/test/java/rampshift/StandIns.java
+++ b/src/test/java/rampshift/StandIns.java
@@ -320,7 +320,12 @@
         }
 
         public long task(int type, String object, int tenant) {
-            choice().arrived(++tasks, type, tenant, object, Span.ZERO, 1, 0, Span.ofMillis(5000));
+            return task(type, object, tenant, 5000);
+        }
+
+        /** A task whose client waits for so long. */
+        public long task(int type, String object, int tenant, double ms) {
+            choice().arrived(++tasks, type, tenant, object, Span.ZERO, 1, 0, Span.ofMillis(ms));
             pull();
             return tasks;
         }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -517,4 +517,24 @@
         }
         assertTrue(host.count("bounce") >= 20, "one slot cannot take them");
     }
+
+    /** Met on a day on which most clients waited a third as long as usual: all their tasks were bounced. */
+    @Test
+    void tasksOfImpatientClientsAreTakenAndRetriesThatComeTooLateAreNot() {
+        Host host = new Host().fleet(6).train(SIDE_EFFECTING, 40, 50);
+        int turnedAway = 0;
+        for (int i = 0; i < 20; i++) {
+            long id = host.task(SIDE_EFFECTING, null, 0, 1500);
+            turnedAway += host.count("bounce " + id + " ");
+            host.begun(id, 0).after(50).ended(id, 0, Outcome.FINISHED);
+        }
+        assertTrue(turnedAway <= 1, "bounced: " + turnedAway);
+        assertEquals(1, host.count("bounce " + host.task(SIDE_EFFECTING, null, 0, 20) + " "), "nobody can be that fast");
+        Host busy = new Host().fleet(1).train(SIDE_EFFECTING, 40, 50).free(1, 0);
+        for (int i = 0; i < 40; i++) {
+            busy.task(SIDE_EFFECTING);
+        }
+        assertTrue(busy.count("bounce") > 20, "an overload");
+        assertEquals(1, busy.count("bounce " + busy.task(SIDE_EFFECTING, null, 0, 1500) + " "), "a retry");
+    }
 }
--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -471,7 +471,9 @@
     void aStopServesOnOpenConnectionsThenEndsThemAndLeavesNobodyWithoutAnAnswer() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         Peer worker = worker((task, line) -> {
-            if (!task.field("X-Txn").equals("late")) {
+            if (task.field("X-Txn").equals("late")) {
+                line.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20\r\n{\"id\":\"late\",\"state\":\"started\"}\n\r\n");
+            } else {
                 go.await();
                 line.done(task, "ok");
             }
