--- a/src/main/java/rampshift/clients/Call.java
+++ b/src/main/java/rampshift/clients/Call.java
@@ -76,6 +76,7 @@
     /** From now on the client's leaving is looked out for, and told once. */
     public void onGone(Runnable gone) {
         this.gone = gone;
+        client.usual = true;
         AbstractServerConnection connection = (AbstractServerConnection) exchange.getConnection();
         // Only the listener is exchanged, and Undertow puts its own back once the exchange is over: with the
         // conduit's handler exchanged it did not, and every second task on a connection was never read.
@@ -121,7 +122,6 @@
         }
         over = true;
         client.suspendReads();
-        client.turnedDown = status >= 400 && status < 500;
         exchange.setStatusCode(status);
         if (comeBackAfter != null) {
             exchange.getResponseHeaders().put(Headers.RETRY_AFTER, comeBackAfter);
--- a/src/main/java/rampshift/clients/Client.java
+++ b/src/main/java/rampshift/clients/Client.java
@@ -35,8 +35,8 @@
     int claim;
     /** It has sent a whole call. */
     boolean known;
-    /** Its last call was turned down. */
-    boolean turnedDown;
+    /** A task of its has been taken. */
+    boolean usual;
     /** Whom to tell that it has gone, or sent what is no call behind a call. */
     Call call;
     boolean watched;
--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -39,9 +39,9 @@
     private static final int BACKLOG = 1024;
     private static final int SCRATCH = 16 * 1024;
     private static final Span WHOLE_CALL = Span.ofMillis(2300);   // a call must be whole by then
-    private static final Span WELL_KNOWN = Span.ofMillis(100);    // a good client's idling before it makes room
+    private static final Span USUAL = Span.ofMillis(100);    // a good client's idling before it makes room
     private static final Span NEW = Span.ofMillis(30);            // that any client has to say something
-    private static final Span TURNED_DOWN = Span.ofMillis(1000);  // that one stays whose last call was
+    private static final Span NO_TASK = Span.ofMillis(1000);      // that one stays whose calls were no tasks
     private static final Span QUIET_END = Span.ofMillis(500);     // no more bytes: it has read its answer
     private static final Span LONGEST_END = Span.ofMillis(5000);
     private static final Span SWEEP = Span.ofMillis(50);
@@ -145,9 +145,9 @@
     }
 
     /**
-     * First go clients that have had their answer, then those that have said nothing whole, the longest here
-     * first: hundreds of silent ones held all places while usual clients waited in the backlog. Then such as
-     * idle between calls. One that has just come has a moment to speak.
+     * First go clients that have had their answer and whose calls were no tasks, then those that have said
+     * nothing whole, the longest here first: hundreds of silent ones held all places while usual clients waited
+     * in the backlog. Usual ones that idle go last: ones that asked for a page and stayed pushed them out.
      */
     private void makeRoom() {
         if (!crowded()) {
@@ -173,11 +173,11 @@
     }
 
     private static int rank(Client c) {
-        return c.ending() ? 0 : c.known && c.turnedDown && !c.begun() ? 1 : !c.known ? 2 : 3;
+        return c.ending() ? 0 : c.usual ? 3 : c.known ? 1 : 2;
     }
 
     private static boolean mayGo(Client c, Moment now) {
-        return !c.busy() && now.since(c.since).longerThan(rank(c) == 3 ? WELL_KNOWN : NEW);
+        return !c.busy() && now.since(c.since).longerThan(rank(c) == 3 ? USUAL : NEW);
     }
 
     /** The one place where a client's connection is given back, but for those that it has ended itself. */
@@ -200,20 +200,26 @@
                 if (been.longerThan(LONGEST_END) || now.since(c.lastByte).longerThan(QUIET_END)) {
                     close(c);
                 }
-            } else if (c.due() && been.longerThan(WHOLE_CALL)) {
-                if (c.begun()) {
-                    unsound(c, 408, "half a call, and no more of it");
-                } else {
-                    counters.add(Counters.Name.CLIENTS_SILENT);
-                    close(c);
+            } else if (c.due()) {
+                if (been.longerThan(WHOLE_CALL)) {
+                    late(c);
                 }
-            } else if (been.longerThan(c.turnedDown ? TURNED_DOWN : mostIdle)) {
+            } else if (been.longerThan(c.usual ? mostIdle : NO_TASK)) {
                 close(c);
             }
         }
         makeRoom();
     }
 
+    private void late(Client client) {
+        if (client.begun()) {
+            unsound(client, 408, "half a call, and no more of it");
+        } else {
+            counters.add(Counters.Name.CLIENTS_SILENT);
+            close(client);
+        }
+    }
+
     private void sweepLater() {
         sweep = thread.executeAfter(() -> {
             sweep();
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -32,7 +32,7 @@
     final Book book;
     final Route route;
     final Span longest;
-    private final Admit admit;
+    final Admit admit;
     private final Pool pool;
 
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
@@ -49,7 +49,7 @@
         Relay relay = new Relay(book);
         route = new Route(thread, clock, settings, platform, pool, book, new Send(pool, clock, book), relay);
         admit = new Admit(Math.min(platform.mostOpen(), clients - spare),
-                (long) (configuration.memoryMb * BODIES * (1 << 20)), book, relay, route);
+                (long) (configuration.memoryMb * BODIES * (1 << 20)), clock, book, relay, route);
         door = new Door(thread, buffers, clock, counters, clients - spare, spare,
                 (long) (configuration.memoryMb * RECEIVING * (1 << 20)), longest.times(CLIENT_IDLE),
                 new TakeIn(settings, platform.types(), clock, counters, book, admit));
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -33,8 +33,9 @@
     private static final Span STOP_LEAST = Span.ofMillis(600);  // after the stop began new clients still come
     private static final Span KILL_AFTER = Span.ofMillis(700);  // and the longest expiry, after SIGTERM: SIGKILL
     private static final Span LONGEST_STOP = Span.ofMillis(3000);   // counted of that expiry
-    private static final Span GIVE_UP = Span.ofMillis(200);     // before that, what is in hand is given up
-    private static final Span LAST_CALL = Span.ofMillis(1200);  // before that, no more is taken
+    private static final Span SHORT = Span.ofMillis(1200);      // before that, tasks must promise to end sooner
+    private static final Span LAST_CALL = Span.ofMillis(350);   // before that, no more is taken
+    private static final Span GIVE_UP = Span.ofMillis(250);     // before that, what is in hand is given up
     private static final Span NOBODY_NEW = Span.ofMillis(250);  // for this long: then it may end
     private static final Span LOOK = Span.ofMillis(20);
 
@@ -126,6 +127,7 @@
             Log.info("stopping", "tasks", parts.book.tasks(), "connections", parts.door.connections());
             stopping = true;
             Moment kill = clock.now().plus(parts.longest.orShorter(LONGEST_STOP)).plus(KILL_AFTER);
+            parts.admit.endAt(kill.minus(SHORT), kill.minus(GIVE_UP));
             parts.door.beginStop();
             lookForEnd(clock.now().plus(STOP_LEAST), kill.minus(LAST_CALL), kill.minus(GIVE_UP));
         });
--- a/src/main/java/rampshift/stages/Admit.java
+++ b/src/main/java/rampshift/stages/Admit.java
@@ -2,25 +2,37 @@
 
 import rampshift.counters.Counters;
 import rampshift.log.Log;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** Second stage: bounds what is in hand. Full, it bounces: harmless, since nothing was sent for the task. */
 public final class Admit {
     private final int mostTasks;
     private final long mostBytes;
+    private final Clock clock;
     private final Book book;
     private final Relay relay;
     private final Route next;
+    private Moment shortFrom;
+    private Moment end;
     private boolean closed;
 
-    public Admit(int mostTasks, long mostBytes, Book book, Relay relay, Route next) {
+    public Admit(int mostTasks, long mostBytes, Clock clock, Book book, Relay relay, Route next) {
         this.mostTasks = mostTasks;
         this.mostBytes = mostBytes;
+        this.clock = clock;
         this.book = book;
         this.relay = relay;
         this.next = next;
     }
 
+    /** The dispatcher ends then: from a moment on tasks are taken only if they are likely to end before. */
+    public void endAt(Moment shortFrom, Moment end) {
+        this.shortFrom = shortFrom;
+        this.end = end;
+    }
+
     /** Nothing more is taken: it would not end before the dispatcher does. */
     public void close() {
         closed = true;
@@ -38,6 +50,9 @@
             relay.bounced(task, Span.ZERO);
             return;
         }
+        if (end != null && !clock.now().before(shortFrom)) {
+            task.endBy(end);
+        }
         book.taken(task);
         next.task(task);
     }
--- a/src/main/java/rampshift/stages/InHand.java
+++ b/src/main/java/rampshift/stages/InHand.java
@@ -17,7 +17,7 @@
     final String object;
     final double width;
     final double memory;
-    final Moment expiry;
+    Moment expiry;
     /** All of the head that goes on to workers, but for the time left; and the body, as they came. */
     private final byte[] head;
     private final byte[] body;
@@ -44,6 +44,11 @@
         body = call.body();
     }
 
+    /** Its answer must be given by then, however long its client would wait. */
+    void endBy(Moment end) {
+        expiry = expiry.orEarlier(end);
+    }
+
     int bytes() {
         return head.length + body.length;
     }
