Assignments whose notes of progress have ended no longer count as running

Checked: a trace of what was believed at each bounce: every worker held assignments that had begun 1.3 to 5 s ago without a note of progress (one is due each second); they filled its room and pulled its speed to half. Ruled out: reports (their load 0.01), health (no outcome bad). At fault: Choice.speed and Worker.ownWidth, which count whatever has not ended. Change: an assignment that has begun and gave no note for one and a half times their interval counts neither as slow nor as held; nothing changes where there are none. FETCH and DELAY, both 1, came out. First tried with the worker's last word in place of now: where all is bounced no word comes, and it stayed so.

--- a/src/main/java/rampshift/decide/Assignment.java
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -15,6 +15,8 @@
     double progress;
     /** Reports said that it would begin at once, and it is not known yet whether they held. */
     boolean saidIdle;
+    /** It has begun, but its notes of progress have ended without an answer. */
+    boolean lost;
     boolean ended;
     boolean neverRan;
     boolean calledOff;
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -30,8 +30,6 @@
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
     private static final double TAKE_AT = 0.5;          // how likely in time a task must be to be taken
-    private static final double FETCH = 1.0;            // of the earnings: a fetch as long as a mean run
-    private static final double DELAY = 1.0;            // of mean earnings: a mean run queued in a long queue
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
@@ -388,14 +386,13 @@
         double ran = w.ran.sum() + prior / warmth(w);
         double own = w.expected.count() == 0 ? kin * warmth(w) : w.expected.sum() / w.ran.sum();
         for (Assignment a : w.out) {
-            if (a.begunAt != null && !a.calledOff) {
+            if (a.begunAt != null && !a.calledOff && !a.lost) {
                 double due = work(a.task).millis();
                 double age = now.since(a.begunAt).millis();
                 double will = a.progress > 0 ? a.progressAt.since(a.begunAt).millis() / a.progress : age;
-                will = Math.max(will, age);
-                if (will > OVERDUE * due / own) {
+                if (Math.max(will, age) > OVERDUE * due / own) {
                     expected += due;
-                    ran += will;
+                    ran += Math.max(will, age);
                 }
             }
         }
@@ -501,9 +498,9 @@
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
         // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
-        double fetch = missing(t, w) * FETCH * SETUP;
+        double fetch = missing(t, w) * SETUP;
         // A task that queues delays all behind it, the more the longer it runs and the longer the queue.
-        double delay = DELAY * earningsAsked.mean(1) * work(t).over(meanWork()) * t.width
+        double delay = earningsAsked.mean(1) * work(t).over(meanWork()) * t.width
                 * wait.over(wait.plus(meanWork()));
         return earnings(t) * (well * (inTime + (1 - inTime) * late) - fetch) - cross - delay
                 - 0.02 * earnings(t) * Math.min(5, end.over(t.type.due()));
@@ -511,7 +508,6 @@
 
     // ---------------------------------------------------------------- deciding
 
-    /** Makes one decision on out, or returns false where there is none left. */
     public boolean next(Decisions out) {
         while (!toCancel.isEmpty()) {
             Assignment a = toCancel.poll();
@@ -754,6 +750,10 @@
         for (Assignment a : t.sent) {
             if (!a.ended && !a.calledOff) {
                 open = a;
+                Moment told = a.progress > 0 ? a.progressAt : a.begunAt;
+                // Its answer will not come: such counted as slow runs and full workers, and half was bounced.
+                a.lost = settings.progressEvery.micros() > 0 && told != null
+                        && now.since(told).longerThan(settings.progressEvery.times(1.5));
                 if (a.begunAt == null && now.since(a.sentAt).longerThan(patience(a))) {
                     believe(a, false);
                 }
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -134,7 +134,7 @@
     double ownWidth() {
         double sum = 0;
         for (Assignment a : out) {
-            sum += a.calledOff ? 0 : a.task.width;
+            sum += a.calledOff || a.lost ? 0 : a.task.width;
         }
         return sum;
     }
@@ -142,7 +142,7 @@
     double begunWidth() {
         double sum = 0;
         for (Assignment a : out) {
-            sum += a.begunAt != null && !a.calledOff ? a.task.width : 0;
+            sum += a.begunAt != null && !a.calledOff && !a.lost ? a.task.width : 0;
         }
         return sum;
     }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -537,4 +537,22 @@
         assertTrue(busy.count("bounce") > 20, "an overload");
         assertEquals(1, busy.count("bounce " + busy.task(SIDE_EFFECTING, null, 0, 1500) + " "), "a retry");
     }
+
+    /** Met on a day on which one answer in six was lost: what would never end counted as slow runs and taken slots. */
+    @Test
+    void assignmentsWhoseAnswersAreLostDoNotMakeTheirWorkersLookSlowAndFull() {
+        Host host = new Host();
+        host.settings.progressEvery = Span.ofMillis(1000);
+        host.fleet(2).train(SIDE_EFFECTING, 40, 50);
+        for (int i = 0; i < 6; i++) {
+            host.begun(host.task(SIDE_EFFECTING), 0);
+        }
+        for (int i = 0; i < 40; i++) {
+            long id = host.task(SIDE_EFFECTING);
+            host.begun(id, 0).after(50).ended(id, 0, Outcome.FINISHED);
+        }
+        int bounced = host.count("bounce");
+        host.train(SIDE_EFFECTING, 20, 50);
+        assertEquals(bounced, host.count("bounce"), "bounced once it is known that they are lost");
+    }
 }
