A traffic type that a worker leaves unbegun goes elsewhere for a while, only that

Checked: the trace of tasks by type and worker: on five workers of a zone one traffic type never begins, others begin at once. Each such assignment made its worker count as queueing for 6 s for every type; once it was abandoned the next of its type went there again. Ruled out: errors, reports, a cut zone. At fault: Choice.wait and held (unbegun for good counts as a queue), Choice.value (health does not know types). Change: unbegun for one and a half intervals of progress notes counts as lost too; where the worker speaks, its type is worth less there, and that fades.

--- a/src/main/java/rampshift/decide/Assignment.java
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -28,4 +28,18 @@
         this.sentAt = sentAt;
         this.predicted = predicted;
     }
+
+    /** It is out. */
+    void begin() {
+        task.sent.add(this);
+        task.open++;
+        worker.out.add(this);
+    }
+
+    void end(boolean withoutRunning) {
+        ended = true;
+        neverRan = withoutRunning;
+        worker.out.remove(this);
+        task.open--;
+    }
 }
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -41,6 +41,7 @@
     private static final double PROBE_WAIT = 0.1;
     private static final double START_BY = 0.15;         // of the due time: not begun by then, it queues
     private static final double RESUBSCRIBE = 0.2;      // of the ask-within span, give or take half
+    private static final double FADE = 16;              // mean runs in which a lost type is mostly forgotten
     private static final double BAD_SHARE = 0.3;        // of the last outcomes: a worker is set aside
     private static final int BAD_LEAST = 2;
     private static final double SILENCE = 4;            // predicted spans without a word
@@ -235,10 +236,7 @@
         }
         Task t = a.task;
         Worker w = a.worker;
-        a.ended = true;
-        a.neverRan = outcome.neverRan;
-        w.out.remove(a);
-        t.open--;
+        a.end(outcome.neverRan);
         w.fullAt = outcome == Outcome.FULL ? now : w.fullAt;
         if (w.zone != settings.zone && (outcome == Outcome.FINISHED || outcome == Outcome.NO_CONNECTION)) {
             // Two in a row elsewhere without a connection: the zone is cut off, not each of its workers sick.
@@ -296,6 +294,7 @@
             }
         }
         w.sawRun(work(a.task).millis(), Math.max(ran.millis(), settings.tick.millis() / 2), warmth(w) >= 1);
+        w.lostAt.remove(a.task.typeNumber);
         judge(w, false);
     }
 
@@ -345,19 +344,13 @@
         timers.add(new Timer(at, timerOrder++, t));
     }
 
-    // ---------------------------------------------------------------- figures
-
     private Span meanWork() {
         return Span.ofMillis(anyWork.mean(settings.types.get(0).due().millis()));
     }
 
     /** What the task is expected to run on a middling worker. */
     private Span work(Task t) {
-        return t.hint.micros() > 0 ? t.hint : work(t.typeNumber);
-    }
-
-    private Span work(int type) {
-        return Span.ofMillis(work[type].mean(settings.types.get(type).due().millis()));
+        return t.hint.micros() > 0 ? t.hint : Span.ofMillis(work[t.typeNumber].mean(t.type.due().millis()));
     }
 
     /** The part of a tenant's tasks that lies beyond its share, all dispatchers taken to see as many. */
@@ -444,7 +437,7 @@
         if (settings.tellsStart) {
             // An assignment that has not begun shows the queue there, or a worker that hangs or is cut off.
             for (Assignment a : w.out) {
-                if (a.begunAt == null && !a.calledOff) {
+                if (a.begunAt == null && !a.calledOff && !a.lost) {
                     wait = wait.orLonger(now.since(a.sentAt));
                 }
             }
@@ -495,6 +488,8 @@
         Span wait = wait(w, t.width);
         Span end = wait.plus(run(w, t));
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
+        Moment lost = w.lostAt.get(t.typeNumber);
+        well *= lost == null ? 1 : 1 - Math.exp(-now.since(lost).over(meanWork().times(FADE)));
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
         // A fetch also loads the one store, which is everybody's: it weighs more than its own length.
@@ -750,10 +745,15 @@
         for (Assignment a : t.sent) {
             if (!a.ended && !a.calledOff) {
                 open = a;
-                Moment told = a.progress > 0 ? a.progressAt : a.begunAt;
-                // Its answer will not come: such counted as slow runs and full workers, and half was bounced.
-                a.lost = settings.progressEvery.micros() > 0 && told != null
-                        && now.since(told).longerThan(settings.progressEvery.times(1.5));
+                Moment told = a.progress > 0 ? a.progressAt : a.begunAt != null ? a.begunAt : a.sentAt;
+                if (settings.progressEvery.micros() > 0 && !a.lost
+                        && now.since(told).longerThan(settings.progressEvery.times(1.5))) {
+                    // No answer will come: such counted as slow runs and full workers, and half was bounced.
+                    a.lost = true;
+                    if (a.begunAt == null && !silent(a.worker)) {
+                        a.worker.lostAt.put(a.task.typeNumber, now);
+                    }
+                }
                 if (a.begunAt == null && now.since(a.sentAt).longerThan(patience(a))) {
                     believe(a, false);
                 }
@@ -844,15 +844,10 @@
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
         a.saidIdle = w.othersAt != null && idle(w, t)
                 && meanWork().times(AGES).longerThan(now.since(w.othersAt));
-        if (t.object != null) {
-            w.keep(t.object, room(w));
-        }
-        t.sent.add(a);
-        t.open++;
-        w.out.add(a);
+        a.begin();
+        w.keep(t.object, room(w));
         if (warmth(w) < 1) {
-            w.sentAt.add(now);
-            w.sentWork.add(work(t).times(t.width));
+            w.sent(now, work(t).times(t.width));
         }
         if (t.copies.isEmpty()) {
             timer(now.plus(patience(a)).plus(settings.tick), t);
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -49,6 +51,8 @@
     /** Sends while it is cold. */
     final ArrayDeque<Moment> sentAt = new ArrayDeque<>();
     final ArrayDeque<Span> sentWork = new ArrayDeque<>();
+    /** When it last left a task of a traffic type unbegun for good, if it has finished none since. */
+    final Map<Integer, Moment> lostAt = new HashMap<>();
     /** Tasks that wait for its answer to a probe. */
     final ArrayList<Task> asking = new ArrayList<>();
 
@@ -65,6 +69,7 @@
         others.clear();
         othersWhen.clear();
         objects.clear();
+        lostAt.clear();
         trickle = 0;
         reported = false;
         lastWord = null;
@@ -97,6 +102,9 @@
 
     /** Keeps the object in mind as there, the latest so many. */
     void keep(String object, double most) {
+        if (object == null) {
+            return;
+        }
         objects.remove(object);
         objects.add(object);
         while (objects.size() > most) {
@@ -104,6 +112,11 @@
         }
     }
 
+    void sent(Moment now, Span work) {
+        sentAt.add(now);
+        sentWork.add(work);
+    }
+
     /** The work sent while it is cold, within the last span. */
     Span sentWithin(Moment now, Span span) {
         while (!sentAt.isEmpty() && now.since(sentAt.peek()).longerThan(span)) {
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -555,4 +555,28 @@
         host.train(SIDE_EFFECTING, 20, 50);
         assertEquals(bounced, host.count("bounce"), "bounced once it is known that they are lost");
     }
+
+    /** Met on a day on which some workers left all tasks of one traffic type unbegun: other types fled them too. */
+    @Test
+    void aTypeThatAWorkerLosesGoesElsewhereAndOnlyThat() {
+        Host host = new Host();
+        host.settings.progressEvery = Span.ofMillis(1000);
+        host.fleet(2).train(SIDE_EFFECTING, 40, 50).train(IDEMPOTENT, 40, 50);
+        long lost = host.worker(host.task(SIDE_EFFECTING), 0);
+        for (int i = 0; i < 40; i++) {
+            host.train(IDEMPOTENT, 1, 50).choice().echoed(lost, true);
+        }
+        Set<Long> there = new HashSet<>();
+        for (int i = 0; i < 12; i++) {
+            long id = host.task(SIDE_EFFECTING);
+            there.add(host.worker(id, 0));
+            host.begun(id, 0).after(10).ended(id, 0, Outcome.FINISHED);
+        }
+        assertEquals(Set.of(3 - lost), there, "none of its type goes there for now");
+        there.clear();
+        for (int i = 0; i < 6; i++) {
+            there.add(host.worker(host.task(IDEMPOTENT), 0));
+        }
+        assertTrue(there.contains(lost), "other types do");
+    }
 }
