--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -29,11 +29,17 @@
               drill      play the simulator's wire on standard input and output
               version    print the version
 
+              try                  a whole fleet on loopback for 20 s: no configuration, no arguments
+              fleet FILE           the workers and the roster of a fleet file, for a dispatcher of your own
+              load FILE            its clients (--folder of `fleet`, or --to ADDRESS:PORT,...)
+              experiment FILE      its arms against one another, run by run, with a report (--folder)
+              judge FILE           the ledgers of a run's --folder once more
+
               -h, --help       print this
               -V, --version    print the version
 
-            Exit status: 0 done; 1 a fault, or input that the wire does not allow; 2 a wrong command line,
-            configuration or environment.
+            Exit status: 0 done; 1 a fault, a broken rule, or input that the wire does not allow; 2 a wrong
+            command line, file, configuration or environment; 3 a run is void, its figures mean nothing.
             """;
 
     private Main() {
@@ -45,6 +51,9 @@
 
     static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream err)
             throws IOException {
+        if (args.length > 0 && FleetJar.COMMANDS.contains(args[0])) {
+            return FleetJar.run(args, out, err);
+        }
         Options options = new Options().addOption(new Option("h", "help", false, null))
                 .addOption(new Option("V", "version", false, null));
         CommandLine line;
--- /dev/null
+++ b/src/main/java/rampshift/fleet/judge/Verdict.java
@@ -0,0 +1,21 @@
+package rampshift.fleet.judge;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the ledgers of a run show. Copies: assignments beyond the first of a task. Taken: by worker, the assignments
+ * it took in each second since the first line.
+ */
+public record Verdict(List<Rule> rules, long tasks, long assignments, long copies, Map<String, long[]> taken,
+        List<Mark> marks, long fromMicros) {
+    /** One rule: how often it was at stake, how often it broke, and the first few breaches. */
+    public record Rule(String name, long atStake, long broken, List<String> examples) { }
+
+    /** A trouble's begin or end, in seconds since the first line. */
+    public record Mark(double second, String text) { }
+
+    public boolean kept() {
+        return rules.stream().allMatch(r -> r.broken() == 0);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -0,0 +1,121 @@
+package rampshift.fleet.plan;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import rampshift.time.Span;
+
+/**
+ * A fleet file: what is started, what comes, and what goes wrong when. Spans are as the file gives them, shares
+ * lie between 0 and 1, rates are a second.
+ */
+public record Plan(
+        Span length,
+        long seed,
+        List<Site> sites,
+        List<Machine> machines,
+        List<Type> types,
+        Arrivals arrivals,
+        Clients clients,
+        Workers workers,
+        Cold cold,
+        Reports reports,
+        Roster roster,
+        Network network,
+        Dispatchers dispatchers,
+        List<Trouble> troubles,
+        Trials trials,
+        List<Arm> arms) {
+
+    /** Share: of the arrivals. */
+    public record Site(String name, double share, int dispatchers, List<Group> workers) { }
+
+    /** So many workers of one machine. */
+    public record Group(String machine, int count) { }
+
+    /** Speed: work done in a second by one slot. Waiting: the most jobs that wait; more are turned away. */
+    public record Machine(String name, int slots, double speed, int waiting, double memory) { }
+
+    /** Work: the mean, as time on a machine of speed 1. */
+    public record Type(String name, double share, Effect effect, Group group, Span window, Span work,
+            Spread spread, Span due, double stretch, Span expiry, double earnings, double lateEarnings,
+            double slots, double memory, int body) {
+        /** What a second run would do. */
+        public enum Effect { IDEMPOTENT, FINGERPRINTED, SIDE_EFFECTING }
+
+        /** The workers that drop a repeat together. */
+        public enum Group { ALL, SITE, CELL }
+
+        /** How the work of single tasks lies around its mean. */
+        public enum Spread { FIXED, EXPONENTIAL, NARROW }
+    }
+
+    /** Objects: how many different ones tasks are about; 0 for none. */
+    public record Arrivals(double rate, boolean even, int objects, List<Burst> bursts) { }
+
+    /** Arrivals come so many times as often; all sites, or the one that is named. */
+    public record Burst(Span at, Span length, double times, String site) { }
+
+    /**
+     * Patience: of the expiry. Late: the lateness of the tool's own sends beyond which more than one in a hundred
+     * void a run. Idle: connections that sent one task and then stand idle. In hand: where above 0, a closed loop
+     * of so many at a time instead of arrivals.
+     */
+    public record Clients(int processes, int retries, Range pause, boolean honourReturn, double patience,
+            Range deadFront, Span mostLate, int idle, int inHand, boolean keep) { }
+
+    /** Cell: so many workers share one. Stops: work ends when its assignment is called off. */
+    public record Workers(boolean tellsStart, Span progress, boolean stops, boolean inOrder, Span idle, int cell,
+            Span connectionCost) { }
+
+    /** From: share of a worker's speed at its start. Pushed over: sent more than tip times what it can do. */
+    public record Cold(double from, Span warm, double tip, Span fall) { }
+
+    public record Reports(How how, List<Figure> figures, Span refresh) {
+        /** Where a report stands. */
+        public enum How { NONE, INLINE, PROBE }
+
+        /** What it tells. */
+        public enum Figure { FREE_SLOTS, WAITING, HELD, FREE_MEMORY }
+    }
+
+    /** Grace: nothing new to a worker later than that after a drain was told. */
+    public record Roster(Range delay, boolean liveWeights, Span refresh, Span grace) { }
+
+    /** One way, between sites. */
+    public record Network(Range crossing) { }
+
+    public record Dispatchers(int memoryMb, int sockets, String cpus, String jar, List<String> java,
+            boolean probes, boolean copies, int mostAssignments, Span longestReturn, JsonNode settings) { }
+
+    /**
+     * One trouble. Share: of the workers (or dispatchers) it befalls, drawn by the seed; or the names of those.
+     * Factor: times slower. Rate: of the assignments it befalls, or of the machine that a neighbour takes.
+     */
+    public record Trouble(Kind what, Span at, Span length, double share, String site, List<String> names,
+            double factor, double rate, Span delay) {
+        /** Kinds of trouble. */
+        public enum Kind {
+            SLOW, HANG, ERRORS, PAUSES, NEIGHBOUR, LATE_REPORTS, DRAIN, LEAVE, CRASH, RESET_BEFORE, RESET_AFTER,
+            RESET_WITHIN, HALF_ANSWER, SILENT, SLOW_BYTES, CUT, ROSTER_SILENT, ROSTER_OLD, DISPATCHER_KILLED
+        }
+
+        /** The dispatchers' processes are the business of whoever started them. */
+        public boolean ofDispatchers() {
+            return what == Kind.DISPATCHER_KILLED;
+        }
+    }
+
+    /** Pairs: one for each seed. Confidence: of the intervals, at least. */
+    public record Trials(List<Long> seeds, double confidence, Span settle) { }
+
+    /** What is set otherwise than in the file: path to value. */
+    public record Arm(String name, JsonNode set) { }
+
+    public int dispatcherCount() {
+        return sites.stream().mapToInt(Site::dispatchers).sum();
+    }
+
+    public int workerCount() {
+        return sites.stream().flatMap(s -> s.workers().stream()).mapToInt(Group::count).sum();
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -0,0 +1,299 @@
+package rampshift.fleet.plan;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import rampshift.time.Span;
+
+/** The one reader of fleet files. */
+public final class PlanReader {
+    private static final long LARGEST = 1 << 20;
+    private static final int MOST = 1_000_000;
+
+    private PlanReader() {
+    }
+
+    /** Reads a file, or throws a Fault that says in plain lines all that is wrong with it. */
+    public static Plan read(Path file) {
+        return read(file, null);
+    }
+
+    /** Reads it as the arm of that name has it. */
+    public static Plan read(Path file, String arm) {
+        try {
+            if (Files.size(file) > LARGEST) {
+                throw new Fault(file + ": over " + LARGEST + " bytes");
+            }
+            return read(file.toString(), Files.readString(file), arm);
+        } catch (IOException e) {
+            throw new Fault(file + ": cannot be read (" + e.getClass().getSimpleName() + ")");
+        }
+    }
+
+    public static Plan read(String name, String text, String arm) {
+        JsonNode root;
+        try {
+            root = new TomlMapper().readTree(text);
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            throw new Fault(name + ":" + line + ": " + e.getOriginalMessage().split("\n")[0]);
+        }
+        Section.Source source = new Section.Source(name, new Lines(text), new ArrayList<>());
+        if (arm != null) {
+            set(source, root, arm);
+        }
+        Plan plan = plan(source, new Section(source, root, ""));
+        if (!source.faults().isEmpty()) {
+            throw new Fault(source.faults());
+        }
+        return plan;
+    }
+
+    /** Sets in the tree what the arm sets: the reading after it is as strict as for the file itself. */
+    private static void set(Section.Source source, JsonNode root, String arm) {
+        JsonNode arms = root.path("arm");
+        for (int i = 0; i < arms.size(); i++) {
+            if (!arms.get(i).path("name").asText().equals(arm)) {
+                continue;
+            }
+            JsonNode set = arms.get(i).path("set");
+            for (Iterator<Map.Entry<String, JsonNode>> all = set.fields(); all.hasNext();) {
+                Map.Entry<String, JsonNode> one = all.next();
+                put(source, root, one.getKey(), one.getValue(), "arm[" + i + "].set." + one.getKey());
+            }
+            return;
+        }
+        source.fault("arm", "there is no arm \"" + arm + "\"");
+    }
+
+    private static void put(Section.Source source, JsonNode root, String path, JsonNode value, String from) {
+        JsonNode at = root;
+        String[] steps = path.split("[.\\[\\]]+");
+        for (int i = 0; i < steps.length; i++) {
+            boolean last = i == steps.length - 1;
+            if (at instanceof ArrayNode array && steps[i].matches("\\d{1,6}")
+                    && Integer.parseInt(steps[i]) < array.size()) {
+                int place = Integer.parseInt(steps[i]);
+                if (last) {
+                    array.set(place, value);
+                }
+                at = array.get(place);
+            } else if (at instanceof ObjectNode object) {
+                if (last) {
+                    object.set(steps[i], value);
+                } else if (!object.has(steps[i])) {
+                    object.putObject(steps[i]);
+                }
+                at = object.get(steps[i]);
+            } else {
+                source.fault(from, from + " names nothing in this file");
+                return;
+            }
+        }
+    }
+
+    private static Plan plan(Section.Source source, Section s) {
+        List<Plan.Machine> machines = new ArrayList<>();
+        for (Section m : s.sections("machine")) {
+            machines.add(new Plan.Machine(m.name("name"), m.whole("slots", 1, 10_000, 4),
+                    m.number("speed", 0.001, 1000, 1), m.whole("waiting", 0, MOST, 64),
+                    m.number("memory", 0, 1e9, 1e6)));
+            m.end();
+        }
+        List<Plan.Site> sites = new ArrayList<>();
+        for (Section site : s.sections("site")) {
+            sites.add(site(site, machines));
+        }
+        List<Plan.Type> types = new ArrayList<>();
+        for (Section t : s.sections("type")) {
+            types.add(type(t));
+        }
+        needs(source, sites.isEmpty(), "site", "at least one site, as [[site]]");
+        needs(source, machines.isEmpty(), "machine", "at least one machine, as [[machine]]");
+        needs(source, types.isEmpty(), "type", "at least one traffic type, as [[type]]");
+        Plan plan = new Plan(s.span("length", Span.ofMillis(20_000)), s.whole("seed", 0, Integer.MAX_VALUE, 1), sites,
+                machines, types, arrivals(s.section("arrivals"), sites), clients(s.section("clients")),
+                workers(s.section("workers")), cold(s.section("cold")), reports(s.section("reports")),
+                roster(s.section("roster")), network(s.section("network")), dispatchers(s.section("dispatchers")),
+                troubles(s, sites), trials(s.section("experiment")), arms(s));
+        s.end();
+        return plan;
+    }
+
+    private static void needs(Section.Source source, boolean lacks, String key, String what) {
+        if (lacks) {
+            source.fault(key, "the file lacks " + what);
+        }
+    }
+
+    private static Plan.Site site(Section s, List<Plan.Machine> machines) {
+        List<Plan.Group> groups = new ArrayList<>();
+        for (Section w : s.sections("workers")) {
+            String machine = w.name("machine");
+            if (machines.stream().noneMatch(m -> m.name().equals(machine))) {
+                w.fault("machine", "is \"" + machine + "\", which no [[machine]] is named");
+            }
+            groups.add(new Plan.Group(machine, w.whole("count", 1, 20_000, 1)));
+            w.end();
+        }
+        Plan.Site site = new Plan.Site(s.name("name"), s.number("share", 0, 1e6, 1),
+                s.whole("dispatchers", 0, 100, 1), groups);
+        s.end();
+        return site;
+    }
+
+    private static Plan.Type type(Section s) {
+        Plan.Type type = new Plan.Type(s.name("name"), s.number("share", 0, 1e6, 1),
+                s.oneOf("effect", Plan.Type.Effect.class, Plan.Type.Effect.IDEMPOTENT),
+                s.oneOf("group", Plan.Type.Group.class, Plan.Type.Group.CELL), s.span("window", Span.ofMillis(5000)),
+                s.span("work", Span.ofMillis(50)), s.oneOf("spread", Plan.Type.Spread.class, Plan.Type.Spread.FIXED),
+                s.span("due", Span.ofMillis(200)), s.number("stretch", 0, 100, 2),
+                s.span("expiry", Span.ofMillis(5000)), s.number("earnings", 0, 1e6, 1),
+                s.number("late_earnings", 0, 1e6, 0), s.number("slots", 0.001, 1000, 1),
+                s.number("memory", 0, 1e6, 0), s.whole("body", 0, 60_000, 100));
+        if (type.expiry().micros() <= type.due().micros()) {
+            s.fault("expiry", "is to be longer than due");
+        }
+        s.end();
+        return type;
+    }
+
+    private static Plan.Arrivals arrivals(Section s, List<Plan.Site> sites) {
+        List<Plan.Burst> bursts = new ArrayList<>();
+        for (Section b : s.sections("burst")) {
+            bursts.add(new Plan.Burst(b.span("at", Span.ZERO), b.span("length", Span.ofMillis(1000)),
+                    b.number("times", 0, 1000, 2), siteName(b, sites)));
+            b.end();
+        }
+        Plan.Arrivals arrivals = new Plan.Arrivals(s.number("rate", 0, 1e6, 100), s.flag("even", false),
+                s.whole("objects", 0, MOST, 1000), bursts);
+        s.end();
+        return arrivals;
+    }
+
+    private static Plan.Clients clients(Section s) {
+        Plan.Clients clients = new Plan.Clients(s.whole("processes", 1, 16, 1), s.whole("retries", 0, 20, 2),
+                s.range("wait", Range.of(200, 400)), s.flag("honour_return", true),
+                s.number("patience", 0.01, 1, 1), s.range("dead_front", Range.of(1000, 2000)),
+                s.span("most_late", Span.ofMillis(5)), s.whole("idle", 0, MOST, 0),
+                s.whole("in_hand", 0, 100_000, 0), s.flag("keep", true));
+        s.end();
+        return clients;
+    }
+
+    private static Plan.Workers workers(Section s) {
+        Plan.Workers workers = new Plan.Workers(s.flag("tell_start", true), s.span("progress", Span.ofMillis(1000)),
+                s.flag("stop_work", true), s.flag("in_order", true), s.span("idle", Span.ofMillis(60_000)),
+                s.whole("cell", 1, MOST, 2), s.span("connection_cost", Span.ZERO));
+        s.end();
+        return workers;
+    }
+
+    private static Plan.Cold cold(Section s) {
+        Plan.Cold cold = new Plan.Cold(s.number("from", 0.01, 1, 0.12), s.span("warm", Span.ofMillis(8000)),
+                s.number("tip", 1, 1000, 4), s.span("fall", Span.ofMillis(1500)));
+        s.end();
+        return cold;
+    }
+
+    private static Plan.Reports reports(Section s) {
+        List<Plan.Reports.Figure> figures = new ArrayList<>();
+        for (String name : s.texts("figures", List.of("free-slots", "waiting"))) {
+            try {
+                figures.add(Plan.Reports.Figure.valueOf(name.toUpperCase(java.util.Locale.ROOT).replace('-', '_')));
+            } catch (IllegalArgumentException e) {
+                s.fault("figures", "holds \"" + name + "\", expected free-slots, waiting, held or free-memory");
+            }
+        }
+        Plan.Reports reports = new Plan.Reports(s.oneOf("how", Plan.Reports.How.class, Plan.Reports.How.INLINE),
+                figures, s.span("refresh", Span.ofMillis(500)));
+        s.end();
+        return reports;
+    }
+
+    private static Plan.Roster roster(Section s) {
+        Plan.Roster roster = new Plan.Roster(s.range("delay", Range.of(200, 1000)), s.flag("live_weights", false),
+                s.span("refresh", Span.ofMillis(1000)), s.span("grace", Span.ofMillis(250)));
+        s.end();
+        return roster;
+    }
+
+    private static Plan.Network network(Section s) {
+        Plan.Network network = new Plan.Network(s.range("crossing", Range.of(0, 0)));
+        s.end();
+        return network;
+    }
+
+    private static Plan.Dispatchers dispatchers(Section s) {
+        Plan.Dispatchers d = new Plan.Dispatchers(s.whole("memory_mb", 32, 65_536, 192),
+                s.whole("sockets", 104, MOST, 1024), s.text("cpus", ""), s.text("jar", ""),
+                s.texts("java", List.of()), s.flag("probes", true), s.flag("copies", true),
+                s.whole("most_assignments", 1, 20, 5), s.span("longest_return", Span.ofMillis(2000)),
+                s.raw("settings"));
+        s.end();
+        return d;
+    }
+
+    private static String siteName(Section s, List<Plan.Site> sites) {
+        String name = s.text("site", "");
+        if (!name.isEmpty() && sites.stream().noneMatch(x -> x.name().equals(name))) {
+            s.fault("site", "is \"" + name + "\", which no [[site]] is named");
+        }
+        return name;
+    }
+
+    private static List<Plan.Trouble> troubles(Section s, List<Plan.Site> sites) {
+        List<Plan.Trouble> troubles = new ArrayList<>();
+        for (Section t : s.sections("trouble")) {
+            if (!t.has("what")) {
+                t.fault("what", "is missing, expected a kind of trouble");
+            }
+            Plan.Trouble trouble = new Plan.Trouble(
+                    t.oneOf("what", Plan.Trouble.Kind.class, Plan.Trouble.Kind.SLOW), t.span("at", Span.ZERO),
+                    t.span("length", Span.ofMillis(5000)), t.number("share", 0, 1, 0), siteName(t, sites),
+                    t.texts("names", List.of()), t.number("factor", 1, 1000, 4),
+                    t.number("rate", 0, 1, 0.5), t.span("delay", Span.ofMillis(1000)));
+            if (trouble.what() == Plan.Trouble.Kind.CUT && trouble.site().isEmpty()) {
+                t.fault("site", "is missing: a cut is of one site");
+            }
+            t.end();
+            troubles.add(trouble);
+        }
+        return troubles;
+    }
+
+    private static Plan.Trials trials(Section s) {
+        List<Long> seeds = new ArrayList<>();
+        int pairs = s.whole("pairs", 1, 1000, 6);
+        int first = s.whole("first_seed", 0, MOST, 1);
+        for (int i = 0; i < pairs; i++) {
+            seeds.add((long) first + i);
+        }
+        Plan.Trials trials = new Plan.Trials(seeds, s.number("confidence", 0.5, 0.999, 0.95),
+                s.span("settle", Span.ofMillis(1000)));
+        s.end();
+        return trials;
+    }
+
+    private static List<Plan.Arm> arms(Section s) {
+        List<Plan.Arm> arms = new ArrayList<>();
+        for (Section a : s.sections("arm")) {
+            Plan.Arm arm = new Plan.Arm(a.name("name"), a.raw("set"));
+            if (arms.stream().anyMatch(b -> b.name().equals(arm.name()))) {
+                a.fault("name", "is \"" + arm.name() + "\", like the name of another arm");
+            }
+            a.end();
+            arms.add(arm);
+        }
+        return arms;
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/roster/Agent.java
@@ -0,0 +1,221 @@
+package rampshift.fleet.roster;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import rampshift.fleet.ledger.Ledger;
+import rampshift.fleet.ledger.Stamp;
+import rampshift.fleet.plan.Range;
+import rampshift.fleet.wire.Line;
+import rampshift.fleet.wire.Message;
+import rampshift.fleet.wire.MessageReader;
+import rampshift.fleet.wire.Ports;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** Discovery as one dispatcher sees it: the agent on its machine, which is sent changes late. */
+public final class Agent {
+    private static final Pattern WATCH = Pattern.compile("/v1/endpoints\\?index=(\\d{1,18})&wait=(\\d{1,9})");
+    private static final long LONGEST_WAIT_MS = 60_000;
+
+    private final int dispatcher;
+    private final XnioIoThread thread;
+    private final Ledger ledger;
+    private final Range delay;
+    private final UniformRandomProvider chance;
+    private final Versions versions;
+    private final AcceptingChannel<StreamConnection> socket;
+    private final Set<Talk> talks = new LinkedHashSet<>();
+    private Moment lastDue = new Moment(0);
+    private Span old = Span.ZERO;
+    private boolean silent;
+
+    public Agent(int dispatcher, XnioWorker worker, Ledger ledger, Range delay, UniformRandomProvider chance,
+            Collection<Entry> first) throws IOException {
+        this.dispatcher = dispatcher;
+        thread = worker.getIoThread(0);
+        this.ledger = ledger;
+        this.delay = delay;
+        this.chance = chance;
+        versions = new Versions(first);
+        ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
+        socket = worker.createStreamConnectionServer(Ports.at(0), accept, OptionMap.builder()
+                .set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 128).getMap());
+        socket.resumeAccepts();
+    }
+
+    public int port() {
+        return ((InetSocketAddress) socket.getLocalAddress()).getPort();
+    }
+
+    /** The whole list in discovery's form. */
+    public String list() {
+        return json(versions.version(), true, versions.whole());
+    }
+
+    /** Something has changed in the world: the agent is sent it after a while, and never out of order. */
+    public void changed(Collection<Entry> entries, boolean late) {
+        Moment now = Stamp.now();
+        Span wait = late ? delay.at(chance.nextDouble()) : Span.ZERO;
+        Moment due = now.plus(wait);
+        lastDue = due.before(lastDue) ? lastDue : due;
+        List<Entry> copy = List.copyOf(entries);
+        thread.executeAfter(() -> {
+            versions.apply(copy, Stamp.now());
+            tell();
+        }, Math.round(lastDue.since(now).millis()), TimeUnit.MILLISECONDS);
+    }
+
+    /** It says nothing at all, or speaks again. */
+    public void silent(boolean on) {
+        silent = on;
+        tell();
+    }
+
+    /** It tells what the list was so long ago, to whoever asks anew; ZERO: it tells the truth again. */
+    public void old(Span ago) {
+        old = ago;
+        for (Talk talk : new ArrayList<>(talks)) {
+            talk.drop();
+        }
+    }
+
+    private void tell() {
+        for (Talk talk : new ArrayList<>(talks)) {
+            talk.look(false);
+        }
+    }
+
+    private String json(long version, boolean whole, List<Entry> entries) {
+        StringBuilder text = new StringBuilder(64 + entries.size() * 160);
+        text.append("{\"rev\":").append(version).append(",\"all\":").append(whole).append(",\"targets\":[");
+        for (int i = 0; i < entries.size(); i++) {
+            text.append(i == 0 ? "" : ",").append(entries.get(i).json(dispatcher));
+        }
+        return text.append("]}").toString();
+    }
+
+    private void accept(AcceptingChannel<StreamConnection> from) {
+        try {
+            for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
+                new Talk(c);
+            }
+        } catch (IOException e) {
+            // Closed while this was under way.
+        }
+    }
+
+    private final class Talk implements Line.Told {
+        private final Line line;
+        private final MessageReader reader = new MessageReader(this::asked);
+        private boolean waits;
+        private long known;
+        private XnioExecutor.Key timer;
+
+        Talk(StreamConnection connection) {
+            line = new Line(connection, thread, this);
+            talks.add(this);
+            line.start();
+        }
+
+        @Override
+        public void bytes(byte[] bytes, int count) {
+            try {
+                reader.take(bytes, 0, count, Stamp.now());
+            } catch (IOException e) {
+                drop();
+            }
+        }
+
+        private void asked(Message message) {
+            Matcher watch = WATCH.matcher(message.target());
+            waits = true;
+            if (watch.matches()) {
+                known = Long.parseLong(watch.group(1));
+                long wait = Math.min(LONGEST_WAIT_MS, Long.parseLong(watch.group(2)));
+                timer = thread.executeAfter(() -> look(true), wait, TimeUnit.MILLISECONDS);
+            } else {
+                known = -1;
+            }
+            look(false);
+        }
+
+        /** Answers if there is something to say, or the wait is over. */
+        void look(boolean over) {
+            if (!waits || silent) {
+                return;
+            }
+            List<Entry> news = known < 0 || old.micros() > 0 ? null : versions.since(known);
+            if (news != null && news.isEmpty() && !over) {
+                return;
+            }
+            waits = false;
+            if (timer != null) {
+                timer.remove();
+            }
+            boolean whole = news == null;
+            if (whole) {
+                news = old.micros() > 0 ? versions.whole(old, Stamp.now()) : versions.whole();
+            }
+            String body = json(versions.version(), whole, news);
+            line.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
+                    + "\r\n\r\n" + body);
+            told(whole, news);
+        }
+
+        private void told(boolean whole, List<Entry> entries) {
+            Moment now = Stamp.now();
+            if (whole) {
+                ledger.line(now, "told-whole", dispatcher);
+            }
+            for (Entry entry : entries) {
+                ledger.line(now, "told", dispatcher, entry.uid(), entry.state().name().toLowerCase(java.util.Locale.ROOT));
+            }
+            if (whole) {
+                ledger.line(now, "told-end", dispatcher);
+            }
+        }
+
+        void drop() {
+            line.close();
+            over();
+        }
+
+        @Override
+        public void ended(boolean reset) {
+            over();
+        }
+
+        private void over() {
+            talks.remove(this);
+            waits = false;
+            if (timer != null) {
+                timer.remove();
+            }
+        }
+    }
+
+    public void close() {
+        IoUtils.safeClose(socket);
+        for (Talk talk : new ArrayList<>(talks)) {
+            talk.drop();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -0,0 +1,165 @@
+package rampshift.fleet.trial;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import rampshift.fleet.judge.Verdict;
+import rampshift.fleet.plan.Fault;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.plan.PlanReader;
+import rampshift.settings.Configuration;
+import rampshift.settings.Malformed;
+
+/** The fleet's commands, and what each is given. */
+public final class Desk {
+    private static final Options OPTIONS = new Options()
+            .addOption(option("folder", "where configurations, ledgers and results go"))
+            .addOption(option("seed", "another seed than the file's"))
+            .addOption(option("arm", "the file as that arm has it"))
+            .addOption(option("to", "addresses of dispatchers, with commas"))
+            .addOption(option("process", "which of the load processes this is"))
+            .addOption(option("keep", "for try: keep the run's folder, here"))
+            .addOption(Option.builder().longOpt("steered").build());
+
+    private Desk() {
+    }
+
+    private static Option option(String name, String what) {
+        return Option.builder().longOpt(name).hasArg().desc(what).build();
+    }
+
+    public static int run(String[] arguments, PrintStream out) throws IOException, InterruptedException {
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(OPTIONS, Arrays.copyOfRange(arguments, 1, arguments.length));
+        } catch (ParseException e) {
+            throw new Fault(e.getMessage() + "; rampshift --help tells more");
+        }
+        String command = arguments[0];
+        int wanted = command.equals("try") ? 0 : 1;
+        if (line.getArgList().size() != wanted) {
+            throw new Fault(wanted == 0 ? "takes no file" : "takes one file; rampshift --help tells more");
+        }
+        if (command.equals("try")) {
+            return tryOut(line, out);
+        }
+        Path file = Path.of(line.getArgList().get(0));
+        Plan plan = PlanReader.read(file, line.getOptionValue("arm"));
+        long seed = number(line, "seed", plan.seed());
+        return switch (command) {
+            case "fleet" -> {
+                Sitting.fleet(plan, seed, folder(line, "rampshift-fleet"), line.hasOption("steered"), out);
+                yield 0;
+            }
+            case "load" -> load(line, plan, seed, out);
+            case "experiment" -> new Experiment(file, plan, folder(line, "rampshift-experiment"), out).run();
+            default -> judge(line, plan, out);
+        };
+    }
+
+    private static Path folder(CommandLine line, String prefix) throws IOException {
+        String given = line.getOptionValue("folder");
+        if (given == null) {
+            return Files.createTempDirectory(prefix);
+        }
+        return Files.createDirectories(Path.of(given)).toAbsolutePath();
+    }
+
+    private static long number(CommandLine line, String option, long ifAbsent) {
+        String given = line.getOptionValue(option);
+        if (given == null) {
+            return ifAbsent;
+        }
+        if (!given.matches("\\d{1,15}")) {
+            throw new Fault("--" + option + " is \"" + given + "\", expected a whole number");
+        }
+        return Long.parseLong(given);
+    }
+
+    private static int load(CommandLine line, Plan plan, long seed, PrintStream out) throws IOException {
+        Path folder = folder(line, "rampshift-load");
+        List<InetSocketAddress> to = new ArrayList<>();
+        if (line.hasOption("to")) {
+            for (String address : line.getOptionValue("to").split(",")) {
+                try {
+                    to.add(Configuration.address("--to " + address, address));
+                } catch (Malformed e) {
+                    throw new Fault(e.getMessage());
+                }
+            }
+        } else {
+            to = Configurations.listens(folder);
+        }
+        boolean steered = line.hasOption("steered");
+        int status = Sitting.load(plan, seed, (int) number(line, "process", 0), to, folder, steered, out);
+        if (!steered && status == 0) {
+            Outcome o = Outcome.read(plan, folder, new Outcome.Costs(List.of(), List.of()),
+                    rampshift.fleet.ledger.Stamp.now());
+            Table.print(o, out);
+            return o.isVoid() ? 3 : 0;
+        }
+        return status;
+    }
+
+    private static int judge(CommandLine line, Plan plan, PrintStream out) throws IOException {
+        if (!line.hasOption("folder")) {
+            throw new Fault("--folder is missing: where the ledgers are");
+        }
+        Verdict verdict = Outcome.judge(plan, Path.of(line.getOptionValue("folder")));
+        Table.rules(verdict, out);
+        return verdict.kept() ? 0 : 1;
+    }
+
+    /** No file, no arguments: the plan that comes with the program. */
+    private static int tryOut(CommandLine line, PrintStream out) throws IOException, InterruptedException {
+        boolean kept = line.hasOption("keep");
+        Path folder = kept ? Files.createDirectories(Path.of(line.getOptionValue("keep"))).toAbsolutePath()
+                : Files.createTempDirectory("rampshift-try");
+        Path file = folder.resolve("try.toml");
+        try (InputStream in = Desk.class.getResourceAsStream("/rampshift/fleet/try.toml")) {
+            Files.write(file, in.readAllBytes());
+        }
+        if (!kept) {
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> delete(folder)));
+        }
+        Plan plan = PlanReader.read(file);
+        long seed = number(line, "seed", plan.seed());
+        out.println("two sites, " + plan.workerCount() + " workers, " + plan.dispatcherCount()
+                + " dispatchers, " + Math.round(plan.length().millis() / 1000) + " s of mixed traffic:");
+        for (Plan.Trouble t : plan.troubles()) {
+            out.printf("  at %2.0f s  %s, %s, for %.0f s%n", t.at().millis() / 1000,
+                    t.what().name().toLowerCase(java.util.Locale.ROOT), String.join(" ", t.names()),
+                    t.length().millis() / 1000);
+        }
+        Outcome o = new Trial(new Children(), plan, file, null, seed, folder, out::println).play();
+        Table.print(o, out);
+        if (kept) {
+            out.println("\nledgers, logs and configurations are in " + folder);
+        }
+        return o.isVoid() ? 3 : o.verdict.kept() ? 0 : 1;
+    }
+
+    private static void delete(Path folder) {
+        try (Stream<Path> all = Files.walk(folder)) {
+            for (Path one : all.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(one);
+            }
+        } catch (IOException e) {
+            // It is a folder for passing things; the system clears it.
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/trial/Sitting.java
@@ -0,0 +1,132 @@
+package rampshift.fleet.trial;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import rampshift.fleet.clients.Load;
+import rampshift.fleet.ledger.Ledger;
+import rampshift.fleet.ledger.Stamp;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.troubles.Timeline;
+import rampshift.fleet.wire.Ports;
+import rampshift.fleet.workers.Fleet;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** The two processes of a run that are no dispatchers: workers with the roster, and clients. */
+final class Sitting {
+    private static final Span IDLE_UP = Span.ofMillis(20_000);
+
+    private Sitting() {
+    }
+
+    /** Workers and roster until standard input ends, if it steers, or until it is stopped. */
+    static void fleet(Plan plan, long seed, Path folder, boolean steered, PrintStream out) throws IOException {
+        try (Ledger ledger = new Ledger(folder.resolve("fleet.ledger"))) {
+            Fleet fleet = new Fleet(plan, seed, ledger);
+            List<InetSocketAddress> listens = Ports.free(plan.dispatcherCount());
+            int d = 0;
+            for (int s = 0; s < plan.sites().size(); s++) {
+                for (int i = 0; i < plan.sites().get(s).dispatchers(); i++, d++) {
+                    Configurations.write(folder, plan, seed, d, s, listens.get(d), fleet.agentPort(d), fleet.list(d));
+                }
+            }
+            Timeline timeline = new Timeline(plan, fleet, ledger);
+            if (steered) {
+                out.println("ready");
+                BufferedReader in = input();
+                for (String line = in.readLine(); line != null; line = in.readLine()) {
+                    if (line.startsWith("go ")) {
+                        timeline.start(seed, new Moment(Long.parseLong(line.substring(3))));
+                    }
+                }
+                fleet.close();
+                return;
+            }
+            out.println(plan.workerCount() + " workers and the roster stand. For a dispatcher of your own:");
+            for (int n = 0; n < plan.dispatcherCount(); n++) {
+                out.println("  NODE_CONFIG=" + Configurations.file(folder, n) + " java -jar target/rampshift.jar serve");
+            }
+            out.println("Troubles count from the first task. Ctrl-C ends it; the ledger is in " + folder + ".");
+            fleet.whenFirstTask(() -> timeline.start(seed, Stamp.now()));
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+                try {
+                    ledger.close();
+                } catch (IOException e) {
+                    // Nobody is left to be told.
+                }
+            }));
+            Thread.currentThread().join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Clients for the length of the plan; its own end follows. Status 3: it fell behind its own plan. */
+    static int load(Plan plan, long seed, int process, List<InetSocketAddress> to, Path folder, boolean steered,
+            PrintStream out) throws IOException {
+        try (Ledger ledger = new Ledger(folder.resolve("load-" + process + ".ledger"))) {
+            Load load = new Load(plan, seed, process, to, ledger);
+            load.openIdle(IDLE_UP);
+            Moment zero = Stamp.now();
+            if (steered) {
+                out.println("ready");
+                BufferedReader in = input();
+                String go = in.readLine();
+                if (go == null || !go.startsWith("go ")) {
+                    return 1;
+                }
+                zero = new Moment(Long.parseLong(go.substring(3)));
+                endWithInput(in);
+            }
+            load.start(zero);
+            Thread teller = new Thread(() -> tell(load, out));
+            teller.setDaemon(true);
+            teller.start();
+            load.await();
+            out.println(load.progress());
+            load.write(folder);
+            load.close();
+            return 0;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return 1;
+        }
+    }
+
+    private static BufferedReader input() {
+        return new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8));
+    }
+
+    /** Whoever started this has gone: a load that nobody waits for must not go on. */
+    private static void endWithInput(BufferedReader in) {
+        Thread watch = new Thread(() -> {
+            try {
+                while (in.readLine() != null) {
+                    continue;
+                }
+            } catch (IOException e) {
+                // The same.
+            }
+            Runtime.getRuntime().halt(1);
+        }, "input");
+        watch.setDaemon(true);
+        watch.start();
+    }
+
+    private static void tell(Load load, PrintStream out) {
+        try {
+            while (true) {
+                Thread.sleep(500);
+                out.println(load.progress());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/trial/Table.java
@@ -0,0 +1,52 @@
+package rampshift.fleet.trial;
+
+import java.io.PrintStream;
+import java.util.Locale;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import rampshift.fleet.judge.Verdict;
+
+/** The short table at the end of a run. */
+final class Table {
+    private Table() {
+    }
+
+    static void print(Outcome o, PrintStream out) {
+        out.printf(Locale.ROOT, "%nearnings served %.1f%%   tasks %.0f   tries %d   assignments %d   copies %d%n%n",
+                100 * o.earningsServed(), o.sum("tasks"), o.sent, o.verdict.assignments(), o.verdict.copies());
+        out.printf("%-18s %7s %7s %9s %7s %9s %6s %7s %8s %8s%n", "traffic type", "tasks", "in time", "finished",
+                "bounced", "abandoned", "other", "p50 ms", "p99 ms", "p99.9 ms");
+        for (Map.Entry<String, Map<String, Double>> type : o.types.entrySet()) {
+            Map<String, Double> row = type.getValue();
+            row(out, type.getKey(), row.get("tasks"), row.get("in_time"), row.get("finished"), row.get("bounced"),
+                    row.get("abandoned"), others(row), o.histograms.get("latency." + type.getKey()));
+        }
+        row(out, "all", o.sum("tasks"), o.sum("in_time"), o.sum("finished"), o.sum("bounced"), o.sum("abandoned"),
+                o.types.values().stream().mapToDouble(Table::others).sum(), o.all("latency"));
+        out.println();
+        rules(o.verdict, out);
+        if (o.isVoid()) {
+            out.printf(Locale.ROOT, "%nVOID: %.1f%% of the sends were later than allowed; this machine was too busy, "
+                    + "and the figures are of the tool as much as of the dispatchers.%n", 100 * o.lateShare);
+        }
+    }
+
+    static void rules(Verdict verdict, PrintStream out) {
+        out.printf("%-36s %9s %7s%n", "rule", "at stake", "broken");
+        for (Verdict.Rule rule : verdict.rules()) {
+            out.printf("%-36s %9d %7d%n", rule.name(), rule.atStake(), rule.broken());
+            rule.examples().forEach(e -> out.println("    " + e));
+        }
+    }
+
+    private static double others(Map<String, Double> row) {
+        return row.get("turned_down") + row.get("broken") + row.get("unreachable") + row.get("no_answer");
+    }
+
+    private static void row(PrintStream out, String name, double tasks, double inTime, double finished,
+            double bounced, double abandoned, double others, Histogram h) {
+        out.printf(Locale.ROOT, "%-18s %7.0f %7.0f %9.0f %7.0f %9.0f %6.0f %7.1f %8.1f %8.1f%n", name, tasks, inTime,
+                finished, bounced, abandoned, others, h.getValueAtPercentile(50) / 1000.0,
+                h.getValueAtPercentile(99) / 1000.0, h.getValueAtPercentile(99.9) / 1000.0);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/trial/Trial.java
@@ -0,0 +1,255 @@
+package rampshift.fleet.trial;
+
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.Proxy;
+import java.net.URL;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import rampshift.fleet.ledger.Chances;
+import rampshift.fleet.ledger.Ledger;
+import rampshift.fleet.ledger.Stamp;
+import rampshift.fleet.plan.Fault;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.troubles.Draw;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** One run: real processes, started in order, troubled as planned, judged when they have ended. */
+final class Trial {
+    private static final Span READY = Span.ofMillis(30_000);
+    private static final Span LEAD = Span.ofMillis(300);        // from the last process ready to the first task
+    private static final long STOP_MS = 8000;
+    private static final long LOOK_MS = 20;
+
+    private final Children children;
+    private final Plan plan;
+    private final Path file;
+    private final String arm;
+    private final long seed;
+    private final Path folder;
+    private final Consumer<String> progress;
+    private final List<Children.Child> dispatchers = new ArrayList<>();
+    private final List<Children.Child> loads = new ArrayList<>();
+    private final Map<Integer, String> said = new HashMap<>();
+    private final List<Duration> cpuBefore = new ArrayList<>();
+    private final List<Duration> cpuOfDead = new ArrayList<>();
+
+    /** Progress: a line now and then, for a person. The arm is null for the file as it stands. */
+    Trial(Children children, Plan plan, Path file, String arm, long seed, Path folder, Consumer<String> progress) {
+        this.children = children;
+        this.plan = plan;
+        this.file = file;
+        this.arm = arm;
+        this.seed = seed;
+        this.folder = folder;
+        this.progress = progress;
+    }
+
+    /** Plays it all. Throws a Fault where a process dies that should not, with its last lines. */
+    Outcome play() throws IOException, InterruptedException {
+        Files.createDirectories(folder);
+        Children.Child fleet = children.start("fleet", self("fleet", List.of()), Map.of(), null,
+                folder.resolve("fleet.log"), this::nothing);
+        try (Ledger ledger = new Ledger(folder.resolve("trial.ledger"))) {
+            awaitLine(fleet, "ready");
+            List<InetSocketAddress> listens = Configurations.listens(folder);
+            for (int d = 0; d < plan.dispatcherCount(); d++) {
+                dispatchers.add(startDispatcher(d));
+            }
+            for (int d = 0; d < dispatchers.size(); d++) {
+                awaitReady(d, listens.get(d));
+            }
+            Thread.sleep(Math.round(plan.trials().settle().millis()));
+            for (int p = 0; p < plan.clients().processes(); p++) {
+                int number = p;
+                loads.add(children.start("load " + p, self("load", List.of("--process", String.valueOf(p))), Map.of(),
+                        null, folder.resolve("load-" + p + ".log"), line -> told(number, line)));
+            }
+            for (Children.Child load : loads) {
+                awaitLine(load, "ready");
+            }
+            dispatchers.forEach(d -> cpuBefore.add(d.cpu()));
+            dispatchers.forEach(d -> cpuOfDead.add(Duration.ZERO));
+            Moment zero = Stamp.now().plus(LEAD);
+            fleet.say("go " + zero.micros());
+            for (Children.Child load : loads) {
+                load.say("go " + zero.micros());
+            }
+            watch(zero, ledger, listens);
+            Outcome.Costs costs = costs();
+            for (Children.Child d : dispatchers) {
+                d.end(STOP_MS);
+            }
+            fleet.endInput();
+            fleet.process.waitFor(STOP_MS, TimeUnit.MILLISECONDS);
+            ledger.close();
+            return Outcome.read(plan, folder, costs, zero);
+        } finally {
+            dispatchers.forEach(Children.Child::kill);
+            loads.forEach(Children.Child::kill);
+            fleet.kill();
+        }
+    }
+
+    private void nothing(String line) {
+        // It stands in the log.
+    }
+
+    private List<String> self(String command, List<String> more) {
+        List<String> arguments = new ArrayList<>(List.of(command, file.toAbsolutePath().toString(), "--folder",
+                folder.toString(), "--seed", String.valueOf(seed), "--steered"));
+        if (arm != null) {
+            arguments.addAll(List.of("--arm", arm));
+        }
+        arguments.addAll(more);
+        return Program.self("2g", arguments);
+    }
+
+    private Children.Child startDispatcher(int d) throws IOException {
+        return children.start(Configurations.name(d), Program.dispatcher(plan.dispatchers(), folder),
+                Map.of("NODE_CONFIG", Configurations.file(folder, d).toString()), Program.homeOf(plan.dispatchers()),
+                folder.resolve(Configurations.name(d) + "-" + System.nanoTime() + ".log"), this::nothing);
+    }
+
+    private void awaitLine(Children.Child child, String line) throws InterruptedException {
+        Moment end = Stamp.now().plus(READY).plus(READY);
+        while (!child.lastLinesNow().contains(line)) {
+            if (!child.process.isAlive() || end.before(Stamp.now())) {
+                throw died(child, "before it was ready");
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    private static Fault died(Children.Child child, String when) {
+        List<String> lines = new ArrayList<>();
+        boolean alive = child.process.isAlive();
+        lines.add(child.name + (alive ? " was not ready in time" : " ended " + when + ", status "
+                + child.process.exitValue()) + "; its last lines:");
+        child.lastLines().forEach(l -> lines.add("  " + l));
+        return Fault.ofRun(lines);
+    }
+
+    private void awaitReady(int d, InetSocketAddress listen) throws InterruptedException {
+        Moment end = Stamp.now().plus(READY);
+        while (!ready(listen)) {
+            if (!dispatchers.get(d).process.isAlive() || end.before(Stamp.now())) {
+                throw died(dispatchers.get(d), "before it was ready");
+            }
+            Thread.sleep(LOOK_MS);
+        }
+    }
+
+    private static boolean ready(InetSocketAddress listen) {
+        try {
+            HttpURLConnection c = (HttpURLConnection) new URL("http", listen.getHostString(), listen.getPort(),
+                    "/ready").openConnection(Proxy.NO_PROXY);
+            c.setConnectTimeout(1000);
+            c.setReadTimeout(1000);
+            c.setRequestProperty("Connection", "close");
+            return c.getResponseCode() == 200;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private synchronized void told(int process, String line) {
+        if (line.startsWith("progress ")) {
+            said.put(process, line);
+        }
+    }
+
+    /** Until the clients are done: kills dispatchers as planned, tells how it goes, sees who dies. */
+    private void watch(Moment zero, Ledger ledger, List<InetSocketAddress> listens)
+            throws IOException, InterruptedException {
+        List<Plan.Trouble> kills = new ArrayList<>(plan.troubles().stream().filter(Plan.Trouble::ofDispatchers).toList());
+        Map<Integer, Moment> back = new HashMap<>();
+        Moment nextWord = zero.plus(Span.ofMillis(1000));
+        while (loads.stream().anyMatch(l -> l.process.isAlive())) {
+            Thread.sleep(LOOK_MS);
+            Moment now = Stamp.now();
+            for (Plan.Trouble kill : List.copyOf(kills)) {
+                if (!now.before(zero.plus(kill.at()))) {
+                    kills.remove(kill);
+                    for (int d : drawn(kill)) {
+                        kill(d, ledger);
+                        back.put(d, now.plus(kill.length()));
+                    }
+                }
+            }
+            for (int d : List.copyOf(back.keySet())) {
+                if (!now.before(back.get(d))) {
+                    back.remove(d);
+                    dispatchers.set(d, startDispatcher(d));
+                    ledger.line(now, "started", d);
+                }
+            }
+            for (int d = 0; d < dispatchers.size(); d++) {
+                if (!dispatchers.get(d).process.isAlive() && !back.containsKey(d)) {
+                    throw died(dispatchers.get(d), "under load");
+                }
+            }
+            if (!now.before(nextWord)) {
+                nextWord = nextWord.plus(Span.ofMillis(1000));
+                progress.accept(word(now.since(zero)));
+            }
+        }
+        for (Children.Child load : loads) {
+            if (load.process.exitValue() != 0) {
+                throw died(load, "under way");
+            }
+        }
+    }
+
+    private List<Integer> drawn(Plan.Trouble kill) {
+        List<String> names = new ArrayList<>();
+        for (int d = 0; d < dispatchers.size(); d++) {
+            names.add(Configurations.name(d));
+        }
+        return Draw.of(kill, names, Chances.of(seed, "kill " + kill.at())).stream()
+                .map(n -> Integer.parseInt(n.substring(1)) - 1).toList();
+    }
+
+    private void kill(int d, Ledger ledger) {
+        Children.Child child = dispatchers.get(d);
+        if (child.process.isAlive()) {
+            cpuOfDead.set(d, cpuOfDead.get(d).plus(child.cpu()));
+            ledger.line(Stamp.now(), "killed", d);
+            child.kill();
+        }
+    }
+
+    private synchronized String word(Span at) {
+        double[] sums = new double[6];
+        for (String line : said.values()) {
+            String[] figures = line.split(" ");
+            for (int i = 0; i < sums.length; i++) {
+                sums[i] += Double.parseDouble(figures[i + 1]);
+            }
+        }
+        int all = Math.max(1, said.size());
+        return String.format(java.util.Locale.ROOT,
+                "%5.1f s  sent %6.0f  finished %6.0f  bounced %5.0f  others %4.0f  earnings served %5.1f%%",
+                at.millis() / 1000, sums[0], sums[1], sums[2], sums[3], 100 * sums[4] / all);
+    }
+
+    private Outcome.Costs costs() {
+        List<Double> cpu = new ArrayList<>();
+        List<Long> memory = new ArrayList<>();
+        for (int d = 0; d < dispatchers.size(); d++) {
+            Duration used = dispatchers.get(d).cpu().plus(cpuOfDead.get(d)).minus(cpuBefore.get(d));
+            cpu.add(used.toNanos() / 1e9);
+            memory.add(dispatchers.get(d).residentKb());
+        }
+        return new Outcome.Costs(cpu, memory);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/wire/Ports.java
@@ -0,0 +1,48 @@
+package rampshift.fleet.wire;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioWorker;
+
+/** Addresses on loopback, and the one I/O thread that stand-ins live on. */
+public final class Ports {
+    private Ports() {
+    }
+
+    /** So many ports that nobody listens on now; the system may give them away again at once. */
+    public static List<InetSocketAddress> free(int count) throws IOException {
+        List<ServerSocket> held = new ArrayList<>();
+        List<InetSocketAddress> free = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+                held.add(socket);
+                free.add(at(socket.getLocalPort()));
+            }
+        } finally {
+            for (ServerSocket socket : held) {
+                socket.close();
+            }
+        }
+        return free;
+    }
+
+    public static InetSocketAddress at(int port) throws IOException {
+        return new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port);
+    }
+
+    public static XnioWorker worker(String name) throws IOException {
+        System.setProperty("javax.management.builder.initial", "none");
+        return Xnio.getInstance(Ports.class.getClassLoader()).createWorker(OptionMap.builder()
+                .set(Options.WORKER_NAME, name).set(Options.WORKER_IO_THREADS, 1)
+                .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
+                .set(Options.THREAD_DAEMON, true).getMap());
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/workers/StandIn.java
@@ -0,0 +1,446 @@
+package rampshift.fleet.workers;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import rampshift.fleet.ledger.Ledger;
+import rampshift.fleet.ledger.Stamp;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.wire.Line;
+import rampshift.fleet.wire.Message;
+import rampshift.fleet.wire.MessageReader;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** One worker: its machine, and how it speaks our protocol. */
+final class StandIn {
+    final String uid;
+    final int site;
+    final int cell;
+    final Plan.Machine kind;
+    final Ill ill = new Ill();
+    final List<Link> links = new ArrayList<>();
+    final Reports reports;
+    private final Plan plan;
+    private final Fingerprints[] groups;
+    private final XnioIoThread thread;
+    private final Ledger ledger;
+    private final UniformRandomProvider chance;
+    private final Runnable taskCame;
+    private final Machine machine;
+    private final List<Talk> talks = new ArrayList<>();
+    private XnioExecutor.Key look;
+    private boolean down;
+
+    /** Groups: for each traffic type, what this worker remembers together with others. */
+    StandIn(String uid, int site, int cell, Plan.Machine kind, Plan plan, Fingerprints[] groups,
+            XnioIoThread thread, Ledger ledger, UniformRandomProvider chance, Runnable taskCame) {
+        this.taskCame = taskCame;
+        this.uid = uid;
+        this.site = site;
+        this.cell = cell;
+        this.kind = kind;
+        this.plan = plan;
+        this.groups = groups;
+        this.thread = thread;
+        this.ledger = ledger;
+        this.chance = chance;
+        reports = new Reports(plan.reports());
+        machine = new Machine(kind, plan.workers().inOrder(), plan.cold(), Stamp.now(), null);
+    }
+
+    Moment born() {
+        return machine.born();
+    }
+
+    boolean down() {
+        return down;
+    }
+
+    /** As lists tell it: lowered while it holds much, where the plan says so. */
+    double weight() {
+        return plan.roster().liveWeights() ? machine.nominal() * kind.slots() / (kind.slots() + machine.held())
+                : machine.nominal();
+    }
+
+    /** A dispatcher has opened a connection. */
+    void opened(Link link, StreamConnection connection) {
+        Talk talk = new Talk(link, connection);
+        talks.add(talk);
+        link.add(talk.line);
+        talk.line.start();
+    }
+
+    // ---- troubles
+
+    /** Sets its speed from what is wrong with it. */
+    void changed() {
+        Moment now = Stamp.now();
+        machine.factor(ill.speed, now);
+        machine.stand(ill.hangs, now);
+        work();
+    }
+
+    void crash() {
+        down = true;
+        machine.restart(Stamp.now());
+        for (Talk talk : new ArrayList<>(talks)) {
+            talk.forget();
+        }
+        talks.clear();
+        links.forEach(Link::shut);
+    }
+
+    void comeBack() {
+        down = false;
+        ill.draining = false;
+        machine.restart(Stamp.now());
+        ledger.line(Stamp.now(), "boot", uid, "cold");
+        links.forEach(Link::open);
+        work();
+    }
+
+    // ---- its work
+
+    private void work() {
+        Moment now = Stamp.now();
+        machine.advance(now);
+        for (Job job = machine.nextBegun(); job != null; job = machine.nextBegun()) {
+            begins(job, now);
+        }
+        for (Job job = machine.nextDone(); job != null; job = machine.nextDone()) {
+            Talk talk = talkOf(job);
+            if (talk != null) {
+                talk.done(now);
+            }
+        }
+        if (look != null) {
+            look.remove();
+            look = null;
+        }
+        Moment next = machine.nextLook();
+        if (next != null) {
+            look = thread.executeAfter(() -> {
+                look = null;
+                work();
+            }, Math.max(0, next.since(now).micros() + 999) / 1000, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private Talk talkOf(Job job) {
+        for (Talk talk : talks) {
+            if (talk.job == job) {
+                return talk;
+            }
+        }
+        return null;
+    }
+
+    private void begins(Job job, Moment now) {
+        Plan.Type type = plan.types().get(job.type);
+        boolean repeat = type.effect() == Plan.Type.Effect.FINGERPRINTED
+                && groups[job.type].repeat(job.key, type.window(), now);
+        ledger.line(now, repeat ? "dropped" : "began", uid, job.txn, job.key, type.name());
+        Talk talk = talkOf(job);
+        if (talk == null) {
+            return;
+        }
+        talk.beganAt = now;
+        if (repeat) {
+            job.left = 1;
+        }
+        if (hit(ill.resetAfter)) {
+            machine.remove(job, now);
+            talk.line.reset();
+            talk.forget();
+        } else if (hit(ill.errors)) {
+            machine.remove(job, now);
+            talk.errs(now);
+        } else if (plan.workers().tellsStart()) {
+            talk.note("\"started\"");
+            talk.progressLater();
+        }
+    }
+
+    private boolean hit(double share) {
+        return share > 0 && chance.nextDouble() < share;
+    }
+
+    private final class Talk implements Line.Told {
+        final Link link;
+        final Line line;
+        private final MessageReader reader = new MessageReader(this::message);
+        private Job job;
+        private Moment beganAt;
+        private Moment tookAt;
+        private Moment idleSince = Stamp.now();
+        private boolean answering;
+        private boolean first = true;
+        private boolean silent;
+        private XnioExecutor.Key progress;
+        private XnioExecutor.Key idle;
+
+        Talk(Link link, StreamConnection connection) {
+            this.link = link;
+            line = new Line(connection, thread, this);
+            line.delay(link.crossing());
+            idleLater();
+        }
+
+        @Override
+        public void bytes(byte[] bytes, int count) {
+            Moment now = Stamp.now();
+            boolean begins = !reader.within();
+            if (begins && hit(ill.resetBefore)) {
+                ledger.line(now, "part", uid, link.dispatcher);
+                line.reset();
+                forget();
+                return;
+            }
+            try {
+                reader.take(bytes, 0, count, now);
+            } catch (IOException e) {
+                ledger.line(now, "odd", uid, link.dispatcher);
+                line.close();
+                forget();
+            }
+        }
+
+        private void message(Message message) {
+            Moment now = Stamp.now();
+            idleSince = now;
+            if (message.method().equals("GET")) {
+                page(message, now);
+                return;
+            }
+            Span wait = first ? plan.workers().connectionCost() : Span.ZERO;
+            first = false;
+            if (wait.micros() > 0) {
+                thread.executeAfter(() -> {
+                    if (!line.closed()) {
+                        task(message, Stamp.now());
+                    }
+                }, Math.max(1, Math.round(wait.millis())), TimeUnit.MILLISECONDS);
+            } else {
+                task(message, now);
+            }
+        }
+
+        private void page(Message message, Moment now) {
+            if (ill.hangs) {
+                return;
+            }
+            String report = reports.now(machine, now);
+            ledger.line(now, "probe", uid, link.dispatcher);
+            if (message.target().equals("/status/load") || message.target().equals("/health")) {
+                String body = message.target().equals("/health") || report == null ? "" : report;
+                line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            } else {
+                line.write("HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+            }
+        }
+
+        private void task(Message message, Moment now) {
+            String txn = message.field("X-Txn");
+            Job came = job(message, txn);
+            if (came == null || job != null) {
+                ledger.line(now, "odd", uid, link.dispatcher);
+                line.write("HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+                return;
+            }
+            ledger.line(now, "took", uid, link.dispatcher, txn, came.key, plan.types().get(came.type).name(),
+                    message.began().micros(), machine.cold() ? "cold" : "warm");
+            taskCame.run();
+            tookAt = now;
+            answering = false;
+            silent = hit(ill.silent);
+            line.drip(ill.drip);
+            job = came;
+            boolean fell = machine.fallen();
+            if (machine.offer(came, now)) {
+                work();
+                return;
+            }
+            job = null;
+            if (machine.fallen() && !fell) {
+                ledger.line(now, "fell", uid);
+                crash();
+            } else {
+                turnAway(came, now);
+            }
+        }
+
+        private void turnAway(Job came, Moment now) {
+            ledger.line(now, "away", uid, came.txn);
+            String report = plan.reports().how() == Plan.Reports.How.INLINE ? reports.now(machine, now) : null;
+            line.write("HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\n"
+                    + (report == null ? "" : "X-Pressure: " + report + "\r\n") + "Content-Length: 0\r\n\r\n");
+        }
+
+        private Job job(Message message, String txn) {
+            String name = message.field("X-Lane");
+            int type = -1;
+            for (int i = 0; i < plan.types().size(); i++) {
+                type = plan.types().get(i).name().equals(name) ? i : type;
+            }
+            String body = message.text();
+            int end = body.indexOf(';');
+            if (txn == null || type < 0 || !body.startsWith("work=") || end < 0) {
+                return null;
+            }
+            String key = message.field("Idempotency-Key");
+            try {
+                String[] figures = body.substring(5, end).split(",");
+                return new Job(txn, key == null ? "-" : key, type, new Span(Long.parseLong(figures[0])),
+                        Double.parseDouble(figures[1]), Double.parseDouble(figures[2]));
+            } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
+                return null;
+            }
+        }
+
+        // ---- its answer
+
+        private void begin() {
+            if (!answering) {
+                answering = true;
+                send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            }
+        }
+
+        private void send(String text) {
+            if (!silent) {
+                line.write(text);
+            }
+        }
+
+        void note(String state) {
+            begin();
+            send(chunk("{\"id\":\"" + job.txn + "\",\"from\":\"" + uid + "\",\"state\":" + state + "}\n"));
+        }
+
+        private static String chunk(String text) {
+            return Integer.toHexString(text.getBytes(StandardCharsets.UTF_8).length) + "\r\n" + text + "\r\n";
+        }
+
+        void progressLater() {
+            Span every = plan.workers().progress();
+            if (every.micros() > 0) {
+                progress = thread.executeAfter(() -> {
+                    if (job != null && !line.closed()) {
+                        if (!ill.hangs) {
+                            machine.advance(Stamp.now());
+                            note("\"running\",\"share\":" + Math.round(job.share() * 1000) / 1000.0);
+                        }
+                        progressLater();
+                    }
+                }, Math.max(1, Math.round(every.millis())), TimeUnit.MILLISECONDS);
+            }
+        }
+
+        private String load(Moment now) {
+            String report = plan.reports().how() == Plan.Reports.How.INLINE ? reports.now(machine, now) : null;
+            return report == null ? "" : ",\"load\":" + report;
+        }
+
+        void errs(Moment now) {
+            ledger.line(now, "erred", uid, job.txn);
+            if (answering) {
+                note("\"failed\"" + load(now));
+                send("0\r\n\r\n");
+            } else {
+                send("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n");
+            }
+            over(now);
+        }
+
+        /** The result says who made it, and how long it took here: what is added can be told from what is work. */
+        void done(Moment now) {
+            String result = uid + "/" + job.txn + "/" + now.since(tookAt).micros();
+            ledger.line(now, "done", uid, job.txn, result);
+            begin();
+            String last = chunk("{\"id\":\"" + job.txn + "\",\"from\":\"" + uid + "\",\"state\":\"done\"" + load(now)
+                    + ",\"result\":\"" + result + "\"}\n") + "0\r\n\r\n";
+            if (hit(ill.resetWithin)) {
+                send(last.substring(0, last.length() / 2));
+                job = null;
+                thread.executeAfter(() -> {
+                    line.reset();
+                    forget();
+                }, 2, TimeUnit.MILLISECONDS);
+                return;
+            }
+            if (hit(ill.halfAnswers)) {
+                send(last.substring(0, last.length() / 2));
+                line.closeWhenWritten();
+                over(now);
+                return;
+            }
+            send(last);
+            over(now);
+        }
+
+        private void over(Moment now) {
+            job = null;
+            answering = false;
+            idleSince = now;
+            if (progress != null) {
+                progress.remove();
+            }
+        }
+
+        // ---- its end
+
+        private void idleLater() {
+            Span most = plan.workers().idle();
+            idle = thread.executeAfter(() -> {
+                if (job == null && !reader.within() && !most.longerThan(Stamp.now().since(idleSince))) {
+                    line.close();
+                    forget();
+                } else {
+                    idleLater();
+                }
+            }, Math.max(1, Math.round(most.millis() / 2)), TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        public void ended(boolean reset) {
+            Job had = job;
+            forget();
+            if (had != null) {
+                ledger.line(Stamp.now(), "off", uid, had.txn, had.begun ? "begun" : "unbegun");
+                if (!had.begun || plan.workers().stops()) {
+                    machine.remove(had, Stamp.now());
+                }
+                work();
+            }
+        }
+
+        /** The one place where a connection's timers and its place in the link are given back. */
+        void forget() {
+            link.remove(line);
+            talks.remove(this);
+            if (progress != null) {
+                progress.remove();
+            }
+            idle.remove();
+            job = null;
+        }
+    }
+
+    void close() {
+        if (look != null) {
+            look.remove();
+        }
+        for (Talk talk : new ArrayList<>(talks)) {
+            talk.line.close();
+            talk.forget();
+        }
+        links.forEach(Link::close);
+    }
+}
--- /dev/null
+++ b/src/test/java/rampshift/fleet/plan/PlanReaderTest.java
@@ -0,0 +1,95 @@
+package rampshift.fleet.plan;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rampshift.time.Span;
+
+class PlanReaderTest {
+    private static final String GOOD = """
+            length = "3s"
+            [[machine]]
+            name = "m"
+            slots = 2
+            [[site]]
+            name = "a"
+            workers = [{ machine = "m", count = 3 }]
+            [[type]]
+            name = "look"
+            due = "100ms"
+            [arrivals]
+            rate = 50
+            [[trouble]]
+            what = "slow"
+            share = 0.5
+            [[arm]]
+            name = "fast"
+            set = { "arrivals.rate" = 200, "type[0].work" = "10ms", "workers.in_order" = false }
+            [[arm]]
+            name = "lost"
+            set = { "length.x" = 1 }
+            """;
+
+    private static String fault(String text) {
+        return assertThrows(Fault.class, () -> PlanReader.read("f.toml", text, null)).getMessage();
+    }
+
+    @Test
+    void aSoundFileIsReadAndAnArmSetsWhatItNames() {
+        Plan plan = PlanReader.read("f.toml", GOOD, null);
+        assertEquals(Span.ofMillis(3000), plan.length());
+        assertEquals(3, plan.workerCount());
+        assertEquals(50, plan.arrivals().rate());
+        Plan fast = PlanReader.read("f.toml", GOOD, "fast");
+        assertEquals(200, fast.arrivals().rate());
+        assertEquals(Span.ofMillis(10), fast.types().get(0).work());
+        assertEquals(false, fast.workers().inOrder(), "also in a table that the file lacks");
+        assertEquals("f.toml:21: arm[1].set.length.x names nothing in this file",
+                assertThrows(Fault.class, () -> PlanReader.read("f.toml", GOOD, "lost")).getMessage());
+        assertEquals("f.toml:16: there is no arm \"none\"",
+                assertThrows(Fault.class, () -> PlanReader.read("f.toml", GOOD, "none")).getMessage());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "rate = 50          | rate = -1            | f.toml:12: arrivals.rate is -1, expected a number from 0 to 1000000",
+        "rate = 50          | raet = 50            | f.toml:12: arrivals.raet is not known; the nearest key here is rate",
+        "due = \"100ms\"    | due = \"fast\"       | f.toml:10: type[0].due is \"fast\", expected a span such as \"250ms\" or \"1.5s\"",
+        "what = \"slow\"    | what = \"slaw\"      | f.toml:14: trouble[0].what is \"slaw\", expected one of slow, hang",
+        "slots = 2          | slots = 2.5          | f.toml:4: machine[0].slots is 2.5, expected a whole number from 1 to 10000",
+        "machine = \"m\", c | machine = \"n\", c   | f.toml:7: site[0].workers[0].machine is \"n\", which no [[machine]] is named",
+        "count = 3          | cuont = 3            | f.toml:7: site[0].workers[0].cuont is not known; the nearest key here is count",
+        "share = 0.5        | share = 0.5 x        | f.toml:15: ",
+        "name = \"look\"    | name = \"a b\"       | f.toml:9: type[0].name is \"a b\", expected a name",
+        "what = \"slow\"    | what = \"cut\"       | f.toml:13: trouble[0].site is missing: a cut is of one site",
+    })
+    void whatIsWrongIsSaidWithItsLineAndWhatWasExpected(String good, String bad, String said) {
+        String told = fault(GOOD.replace(good, bad));
+        assertTrue(told.startsWith(said), told);
+    }
+
+    @Test
+    void allFaultsAreToldAtOnce() {
+        String told = fault(GOOD.replace("rate = 50", "rate = \"x\"").replace("slots = 2", "slots = 0")
+                .replace("[[type]]", "[[typo]]"));
+        assertEquals(4, told.lines().count(), told);
+        assertTrue(told.contains("f.toml:8: typo is not known; the nearest key here is type"), told);
+        assertTrue(told.contains("the file lacks at least one traffic type"), told);
+    }
+
+    @Test
+    void thePlanThatComesWithTheProgramIsSound() throws IOException {
+        try (var in = PlanReader.class.getResourceAsStream("/rampshift/fleet/try.toml")) {
+            Plan plan = PlanReader.read("try.toml", new String(in.readAllBytes(), StandardCharsets.UTF_8), null);
+            assertEquals(2, plan.dispatcherCount());
+            assertEquals(3, plan.machines().size());
+            assertEquals(3, plan.troubles().size());
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/rampshift/fleet/roster/VersionsTest.java
@@ -0,0 +1,43 @@
+package rampshift.fleet.roster;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+class VersionsTest {
+    private static final Entry A = new Entry("a", "s", "m", 1, Entry.State.READY, 4, 0, new int[] {1});
+    private static final Entry B = new Entry("b", "s", "m", 1, Entry.State.READY, 4, 0, new int[] {2});
+
+    private static String names(List<Entry> entries) {
+        return String.join(" ", entries.stream().map(e -> e.uid() + ":" + e.state()).toList());
+    }
+
+    @Test
+    void aWatchGetsTheLastStateOfWhatHasChangedAndAStrangerTheWholeList() {
+        Versions v = new Versions(List.of(A, B));
+        long first = v.version();
+        v.apply(List.of(A.with(Entry.State.DRAINING)), Moment.ofMillis(1));
+        long second = v.version();
+        v.apply(List.of(A.with(Entry.State.GONE)), Moment.ofMillis(2));
+        assertEquals("a:GONE", names(v.since(first)));
+        assertEquals("a:GONE", names(v.since(second)));
+        assertEquals("", names(v.since(v.version())));
+        assertEquals("b:READY", names(v.whole()));
+        assertNull(v.since(v.version() + 1), "a version that was never given");
+        assertNull(v.since(0));
+    }
+
+    @Test
+    void oldNewsIsTheListAsItWas() {
+        Versions v = new Versions(List.of(A));
+        v.apply(List.of(B), Moment.ofMillis(100));
+        v.apply(List.of(A.with(Entry.State.GONE)), Moment.ofMillis(200));
+        assertEquals("b:READY", names(v.whole(Span.ofMillis(0), Moment.ofMillis(200))));
+        assertEquals("a:READY b:READY", names(v.whole(Span.ofMillis(50), Moment.ofMillis(200))));
+        assertEquals("a:READY", names(v.whole(Span.ofMillis(150), Moment.ofMillis(200))));
+    }
+}
