--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -78,13 +78,14 @@
         public enum Figure { FREE_SLOTS, WAITING, HELD, FREE_MEMORY }
     }
 
-    /** Grace: nothing new to a worker later than that after a drain was told. */
-    public record Roster(Range delay, boolean liveWeights, Span refresh, Span grace) { }
+    /** Port: of the first dispatcher's agent, the next ones follow; 0 for any. Grace: of drains. */
+    public record Roster(int port, Range delay, boolean liveWeights, Span refresh, Span grace) { }
 
     /** One way, between sites. */
     public record Network(Range crossing) { }
 
-    public record Dispatchers(int memoryMb, int sockets, String cpus, String jar, List<String> java,
+    /** Port: of the first one, the next ones follow; 0 for any. */
+    public record Dispatchers(int port, int memoryMb, int sockets, String cpus, String jar, List<String> java,
             boolean probes, boolean copies, int mostAssignments, Span longestReturn, JsonNode settings) { }
 
     /**
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -221,7 +221,7 @@
     }
 
     private static Plan.Roster roster(Section s) {
-        Plan.Roster roster = new Plan.Roster(s.range("delay", Range.of(200, 1000)), s.flag("live_weights", false),
+        Plan.Roster roster = new Plan.Roster(s.whole("port", 0, 65_000, 0), s.range("delay", Range.of(200, 1000)), s.flag("live_weights", false),
                 s.span("refresh", Span.ofMillis(1000)), s.span("grace", Span.ofMillis(250)));
         s.end();
         return roster;
@@ -234,7 +234,8 @@
     }
 
     private static Plan.Dispatchers dispatchers(Section s) {
-        Plan.Dispatchers d = new Plan.Dispatchers(s.whole("memory_mb", 32, 65_536, 192),
+        Plan.Dispatchers d = new Plan.Dispatchers(s.whole("port", 0, 65_000, 0),
+                s.whole("memory_mb", 32, 65_536, 192),
                 s.whole("sockets", 104, MOST, 1024), s.text("cpus", ""), s.text("jar", ""),
                 s.texts("java", List.of()), s.flag("probes", true), s.flag("copies", true),
                 s.whole("most_assignments", 1, 20, 5), s.span("longest_return", Span.ofMillis(2000)),
--- a/src/main/java/rampshift/fleet/roster/Agent.java
+++ b/src/main/java/rampshift/fleet/roster/Agent.java
@@ -47,8 +47,8 @@
     private Span old = Span.ZERO;
     private boolean silent;
 
-    public Agent(int dispatcher, XnioWorker worker, Ledger ledger, Range delay, UniformRandomProvider chance,
-            Collection<Entry> first) throws IOException {
+    public Agent(int dispatcher, XnioWorker worker, int port, Ledger ledger, Range delay,
+            UniformRandomProvider chance, Collection<Entry> first) throws IOException {
         this.dispatcher = dispatcher;
         thread = worker.getIoThread(0);
         this.ledger = ledger;
@@ -56,8 +56,10 @@
         this.chance = chance;
         versions = new Versions(first);
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
-        socket = worker.createStreamConnectionServer(Ports.at(0), accept, OptionMap.builder()
-                .set(Options.TCP_NODELAY, true).set(Options.BACKLOG, 128).getMap());
+        Ports.needs(port);
+        socket = worker.createStreamConnectionServer(Ports.at(port), accept, OptionMap.builder()
+                .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                .set(Options.BACKLOG, 128).getMap());
         socket.resumeAccepts();
     }
 
--- a/src/main/java/rampshift/fleet/trial/Sitting.java
+++ b/src/main/java/rampshift/fleet/trial/Sitting.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import rampshift.fleet.clients.Load;
 import rampshift.fleet.ledger.Ledger;
@@ -29,7 +30,7 @@
     static void fleet(Plan plan, long seed, Path folder, boolean steered, PrintStream out) throws IOException {
         try (Ledger ledger = new Ledger(folder.resolve("fleet.ledger"))) {
             Fleet fleet = new Fleet(plan, seed, ledger);
-            List<InetSocketAddress> listens = Ports.free(plan.dispatcherCount());
+            List<InetSocketAddress> listens = listens(plan);
             int d = 0;
             for (int s = 0; s < plan.sites().size(); s++) {
                 for (int i = 0; i < plan.sites().get(s).dispatchers(); i++, d++) {
@@ -67,6 +68,18 @@
         }
     }
 
+    private static List<InetSocketAddress> listens(Plan plan) throws IOException {
+        if (plan.dispatchers().port() == 0) {
+            return Ports.free(plan.dispatcherCount());
+        }
+        List<InetSocketAddress> listens = new ArrayList<>();
+        for (int d = 0; d < plan.dispatcherCount(); d++) {
+            Ports.needs(plan.dispatchers().port() + d);
+            listens.add(Ports.at(plan.dispatchers().port() + d));
+        }
+        return listens;
+    }
+
     /** Clients for the length of the plan; its own end follows. Status 3: it fell behind its own plan. */
     static int load(Plan plan, long seed, int process, List<InetSocketAddress> to, Path folder, boolean steered,
             PrintStream out) throws IOException {
--- a/src/main/java/rampshift/fleet/wire/Ports.java
+++ b/src/main/java/rampshift/fleet/wire/Ports.java
@@ -1,6 +1,7 @@
 package rampshift.fleet.wire;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -34,6 +35,16 @@
         return free;
     }
 
+    /** Throws, naming it, where somebody listens on that port already; 0 is any port. */
+    public static void needs(int port) throws IOException {
+        try (ServerSocket socket = new ServerSocket()) {
+            socket.setReuseAddress(true);
+            socket.bind(at(port), 1);
+        } catch (BindException e) {
+            throw new IOException("127.0.0.1:" + port + " is taken");
+        }
+    }
+
     public static InetSocketAddress at(int port) throws IOException {
         return new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port);
     }
--- a/src/main/java/rampshift/fleet/workers/Fleet.java
+++ b/src/main/java/rampshift/fleet/workers/Fleet.java
@@ -94,7 +94,8 @@
             }
         }
         for (int d = 0; d < siteOf.length; d++) {
-            agents.add(new Agent(d, worker, ledger, plan.roster().delay(), Chances.of(seed, "agent " + d), entries));
+            agents.add(new Agent(d, worker, plan.roster().port() == 0 ? 0 : plan.roster().port() + d, ledger,
+                    plan.roster().delay(), Chances.of(seed, "agent " + d), entries));
         }
         if (plan.roster().liveWeights()) {
             weighLater();
@@ -188,7 +189,7 @@
             case RESET_WITHIN -> ill.resetWithin = rate;
             case HALF_ANSWER -> ill.halfAnswers = rate;
             case SILENT -> ill.silent = rate;
-            case SLOW_BYTES -> ill.drip = on ? t.delay().times(0.01) : Span.ZERO;
+            case SLOW_BYTES -> ill.drip = on ? t.delay() : Span.ZERO;
             case LATE_REPORTS -> one.reports.late(on ? t.delay() : Span.ZERO);
             default -> throw new IllegalArgumentException(t.what().name());
         }
--- a/src/main/java/rampshift/fleet/workers/StandIn.java
+++ b/src/main/java/rampshift/fleet/workers/StandIn.java
@@ -90,11 +90,10 @@
     void crash() {
         down = true;
         machine.restart(Stamp.now());
+        links.forEach(Link::shut);      // it resets what it still knows, so before that is forgotten
         for (Talk talk : new ArrayList<>(talks)) {
             talk.forget();
         }
-        talks.clear();
-        links.forEach(Link::shut);
     }
 
     void comeBack() {
--- a/src/test/java/rampshift/StandIns.java
+++ b/src/test/java/rampshift/StandIns.java
@@ -95,7 +95,7 @@
     public static final class Line implements Closeable {
         private final Socket socket;
 
-        Line(Socket socket) throws IOException {
+        public Line(Socket socket) throws IOException {
             this.socket = socket;
             socket.setSoTimeout(LONG_MS);
             socket.setTcpNoDelay(true);
@@ -115,6 +115,31 @@
             return Message.read(socket.getInputStream());
         }
 
+        /** What comes up to a text, that one with it; or up to the end. */
+        public String until(String text) throws IOException {
+            StringBuilder came = new StringBuilder();
+            try {
+                while (came.indexOf(text) < 0) {
+                    int b = socket.getInputStream().read();
+                    if (b < 0) {
+                        return came + "[END]";
+                    }
+                    came.append((char) b);
+                }
+            } catch (SocketTimeoutException e) {
+                return came + "[SILENCE]";
+            } catch (IOException e) {
+                return came + "[RESET]";
+            }
+            return came.toString();
+        }
+
+        /** Waits so long at most for what is read. */
+        public Line patience(int ms) throws IOException {
+            socket.setSoTimeout(ms);
+            return this;
+        }
+
         /** Waits for the other side to end it; what still comes is skipped. */
         public boolean ended() {
             try {
--- /dev/null
+++ b/src/test/java/rampshift/fleet/workers/FleetTest.java
@@ -0,0 +1,311 @@
+package rampshift.fleet.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rampshift.StandIns.until;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rampshift.StandIns.Line;
+import rampshift.fleet.ledger.Ledger;
+import rampshift.fleet.ledger.Stamp;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.plan.PlanReader;
+import rampshift.fleet.troubles.Timeline;
+
+/** Workers and roster as a dispatcher meets them, in good and bad health. */
+class FleetTest {
+    @TempDir
+    Path folder;
+    private final List<Line> lines = new ArrayList<>();
+    private Ledger ledger;
+    private Fleet fleet;
+
+    private void open(String more) throws IOException {
+        Plan plan = PlanReader.read("f.toml", """
+                [[machine]]
+                name = "m"
+                slots = 1
+                waiting = 1
+                [[site]]
+                name = "a"
+                workers = [{ machine = "m", count = 3 }]
+                [[site]]
+                name = "b"
+                [[type]]
+                name = "look"
+                [[type]]
+                name = "mark"
+                effect = "fingerprinted"
+                group = "cell"
+                [reports]
+                figures = ["free-slots", "waiting"]
+                refresh = "0ms"
+                """ + more, null);
+        ledger = new Ledger(folder.resolve("fleet.ledger"));
+        fleet = new Fleet(plan, 1, ledger);
+        new Timeline(plan, fleet, ledger).start(1, Stamp.now());
+    }
+
+    @AfterEach
+    void close() throws IOException {
+        for (Line line : lines) {
+            line.close();
+        }
+        fleet.close();
+        ledger.close();
+    }
+
+    private JsonNode target(int dispatcher, int worker) throws IOException {
+        return new ObjectMapper().readTree(fleet.list(dispatcher)).path("targets").get(worker);
+    }
+
+    private int port(int dispatcher, int worker) throws IOException {
+        return Integer.parseInt(target(dispatcher, worker).path("endpoint").asText().split(":")[1]);
+    }
+
+    private Line dial(int port) throws IOException {
+        Socket socket = new Socket();
+        socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 300);
+        Line line = new Line(socket);
+        lines.add(line);
+        return line;
+    }
+
+    private Line task(Line line, String txn, String type, int workMs) throws IOException {
+        String body = "work=" + workMs * 1000 + ",1.0,0.0;";
+        return line.write("POST /api HTTP/1.1\r\nX-Txn: " + txn + "\r\nX-Lane: " + type
+                + "\r\nIdempotency-Key: k\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+    }
+
+    private String ledger() throws IOException {
+        return Files.readString(folder.resolve("fleet.ledger"));
+    }
+
+    @Test
+    void aTaskIsRunAndToldOfWithTheLoad() throws Exception {
+        open("");
+        String answer = task(dial(port(0, 0)), "t", "look", 20).until("\r\n0\r\n\r\n");
+        assertTrue(answer.contains("{\"id\":\"t\",\"from\":\"a-m-1\",\"state\":\"started\"}"), answer);
+        assertTrue(answer.matches("(?s).*\"state\":\"done\",\"load\":\\{\"x0\":1.00,\"queue\":0\\},\"result\":\"a-m-1/t/\\d+\".*"),
+                answer);
+        until("it is in the ledger", () -> ledger().contains(" done a-m-1 t a-m-1/t/"));
+        assertTrue(ledger().contains(" took a-m-1 0 t k look "), ledger());
+    }
+
+    @Test
+    void whatFindsNoRoomIsTurnedAwayUnbegunAndAClosedConnectionTakesItsJobBack() throws Exception {
+        open("");
+        Line first = task(dial(port(0, 0)), "a", "look", 10_000);
+        first.until("started");
+        Line second = task(dial(port(0, 0)), "b", "look", 10_000);
+        until("it waits", () -> ledger().contains(" took a-m-1 0 b "));
+        var away = task(dial(port(0, 0)), "c", "look", 1).read();
+        assertEquals(503, away.status());
+        assertEquals("1", away.field("X-Turned-Away"));
+        assertEquals("{\"x0\":0.00,\"queue\":1}", away.field("X-Pressure"));
+        first.close();
+        assertTrue(second.until("started").contains("\"id\":\"b\""), "the waiting one has its place");
+        until("told", () -> ledger().contains(" off a-m-1 a begun"));
+        assertFalse(ledger().contains(" began a-m-1 c"));
+    }
+
+    @Test
+    void probesTellTheLoadAndStrangeTasksAreTurnedDown() throws Exception {
+        open("");
+        Line line = dial(port(0, 0));
+        assertEquals("{\"x0\":1.00,\"queue\":0}", line.write("GET /status/load HTTP/1.1\r\n\r\n").read().text());
+        assertEquals(200, line.write("GET /health HTTP/1.1\r\n\r\n").read().status());
+        assertEquals(404, line.write("GET /else HTTP/1.1\r\n\r\n").read().status());
+        assertEquals(400, task(line, "t", "nothing", 1).read().status());
+    }
+
+    @Test
+    void aRepeatIsDroppedWithinItsCellAndRunsOutsideOfIt() throws Exception {
+        open("");
+        for (int worker = 0; worker < 3; worker++) {
+            task(dial(port(0, worker)), "t" + worker, "mark", 1).until("\r\n0\r\n\r\n");
+        }
+        until("all are told of", () -> ledger().contains(" done a-m-3 t2"));
+        assertTrue(ledger().contains(" began a-m-1 t0 k mark"));
+        assertTrue(ledger().contains(" dropped a-m-2 t1 k mark"), "of the same cell");
+        assertTrue(ledger().contains(" began a-m-3 t2 k mark"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', quoteCharacter = '~', value = {
+        "what = \"errors\"; rate = 1        | \"state\":\"started\" | HTTP/1.1 500",
+        "what = \"reset-before\"; rate = 1  | took                  | [RESET]",
+        "what = \"reset-after\"; rate = 1   | done                  | [RESET]",
+        "what = \"reset-within\"; rate = 1  | \"result\":\"a-m-1/t  | [RESET]",
+        "what = \"half-answer\"; rate = 1   | \"result\":\"a-m-1/t  | [END]",
+        "what = \"silent\"; rate = 1        | HTTP                  | [SILENCE]",
+        "what = \"hang\"                    | HTTP                  | [SILENCE]",
+        "what = \"neighbour\"; rate = 0.99  | done                  | [SILENCE]",
+        "what = \"slow\"; factor = 200      | done                  | [SILENCE]",
+        "what = \"slow-bytes\"; delay = \"500ms\" | done               | [SILENCE]",
+    })
+    void eachTroubleShowsAndPassesAgain(String trouble, String without, String with) throws Exception {
+        open("[[trouble]]\nnames = [\"a-m-1\"]\nlength = \"700ms\"\n" + trouble.replace("; ", "\n"));
+        Thread.sleep(60);
+        Line line = dial(port(0, 0)).patience(400);
+        String answer = task(line, "t", "look", 10).until("\r\n0\r\n\r\n");
+        assertTrue(answer.contains(with), answer);
+        assertFalse(answer.contains(without), answer);
+        until("it is over", () -> ledger().contains(" ends a-m-1"));
+        String good = task(dial(port(0, 0)), "u", "look", 10).until("\r\n0\r\n\r\n");
+        assertTrue(good.contains("\"result\":\"a-m-1/u"), good);
+    }
+
+    @Test
+    void aResetBeforeTheTaskIsWholeIsNoTaskTaken() throws Exception {
+        open("[[trouble]]\nwhat = \"reset-before\"\nrate = 1\nnames = [\"a-m-1\"]");
+        Thread.sleep(60);
+        assertEquals("[RESET]", dial(port(0, 0)).write("POST /api HTTP/1.1\r\n").until("x"));
+        until("it is told", () -> ledger().contains(" part a-m-1 0"));
+    }
+
+    @Test
+    void acrossACutNothingComesThroughAndNothingIsResetAndThenAllGoesOn() throws Exception {
+        open("[[trouble]]\nwhat = \"cut\"\nsite = \"b\"\nat = \"300ms\"\nlength = \"900ms\"");
+        Line before = task(dial(port(1, 0)), "t", "look", 500);
+        before.until("started");
+        until("it is cut", () -> ledger().contains("cut begins"));
+        Thread.sleep(50);
+        int port = port(1, 0);
+        assertThrows(SocketTimeoutException.class, () -> dial(port), "a new connection never comes up");
+        assertFalse(before.patience(300).until("[no end]").contains("done"), "an open one falls silent");
+        assertTrue(task(dial(port(0, 1)), "u", "look", 1).until("\r\n0\r\n\r\n").contains("a-m-2/u"), "within the site");
+        assertTrue(before.patience(5000).until("done").contains("done"), "what was held back comes after all");
+        until("new ones come up again", () -> {
+            try {
+                return task(dial(port(1, 0)), "v", "look", 1).until("\r\n0\r\n\r\n").contains("a-m-1/v");
+            } catch (IOException e) {
+                return false;
+            }
+        });
+    }
+
+    @Test
+    void aCrashResetsAllAndTheWorkerComesBackColdAndFallsOverWhenOverfed() throws Exception {
+        open("""
+                [cold]
+                from = 0.1
+                warm = "60s"
+                tip = 4
+                fall = "200ms"
+                [[trouble]]
+                what = "crash"
+                names = ["a-m-1"]
+                at = "200ms"
+                length = "300ms"
+                [roster]
+                delay = "10ms"
+                """);
+        Line line = task(dial(port(0, 0)), "t", "look", 10_000);
+        line.until("started");
+        assertTrue(line.until("never").endsWith("[RESET]"));
+        assertThrows(IOException.class, () -> dial(port(0, 0)).until("x").charAt(99), "refused");
+        until("it is back, and said to be new", () -> fleet.list(0).matches(".*a-m-1.*\"boot_ms\":[1-9].*"));
+        until("it listens", () -> {
+            try {
+                return dial(portOf("a-m-1")).write("GET /health HTTP/1.1\r\n\r\n").read().status() == 200;
+            } catch (IOException e) {
+                return false;
+            }
+        });
+        int port = portOf("a-m-1");
+        Line eats = task(dial(port), "u", "look", 70);
+        eats.until("started");
+        Line much = task(dial(port), "v", "look", 70);
+        assertTrue(much.until("never").contains("[RESET]"), "140 ms of work where a tenth of 200 can be done");
+        assertTrue(eats.until("never").contains("[RESET]"));
+        until("told", () -> ledger().contains(" fell a-m-1"));
+        assertThrows(IOException.class, () -> dial(port));
+    }
+
+    private int portOf(String uid) throws IOException {
+        for (JsonNode t : new ObjectMapper().readTree(fleet.list(0)).path("targets")) {
+            if (t.path("uid").asText().equals(uid)) {
+                return Integer.parseInt(t.path("endpoint").asText().split(":")[1]);
+            }
+        }
+        throw new IOException("not listed");
+    }
+
+    @Test
+    void idleConnectionsAreClosedAndNewOnesCostTime() throws Exception {
+        open("[workers]\nidle = \"200ms\"\nconnection_cost = \"150ms\"");
+        Line line = dial(port(0, 0));
+        long begun = System.nanoTime();
+        task(line, "t", "look", 1).until("\r\n0\r\n\r\n");
+        long first = System.nanoTime();
+        task(line, "u", "look", 1).until("\r\n0\r\n\r\n");
+        assertTrue(first - begun > 150_000_000L, "the first one on it");
+        assertTrue(System.nanoTime() - first < 140_000_000L, "not the second");
+        assertTrue(line.ended());
+    }
+
+    @Test
+    void theRosterTellsLateFallsSilentAndTellsOldNews() throws Exception {
+        open("""
+                [roster]
+                delay = "150ms"
+                [[trouble]]
+                what = "drain"
+                names = ["a-m-1"]
+                at = "100ms"
+                length = "60s"
+                [[trouble]]
+                what = "roster-silent"
+                at = "600ms"
+                length = "400ms"
+                [[trouble]]
+                what = "roster-old"
+                delay = "30s"
+                at = "1200ms"
+                length = "400ms"
+                """);
+        Line watch = dial(fleet.agentPort(0));
+        String whole = watch.write("GET /v1/endpoints HTTP/1.1\r\n\r\n").read().text();
+        assertTrue(whole.startsWith("{\"rev\":1,\"all\":true") && whole.contains("a-m-3"), whole);
+        long asked = System.nanoTime();
+        String change = watch.write("GET /v1/endpoints?index=1&wait=20000 HTTP/1.1\r\n\r\n").read().text();
+        assertTrue(change.startsWith("{\"rev\":2,\"all\":false") && change.contains("terminating"), change);
+        assertTrue(System.nanoTime() - asked > 50_000_000L, "late");
+        assertTrue(watch.write("GET /v1/endpoints?index=2&wait=50 HTTP/1.1\r\n\r\n").read().text()
+                .endsWith("\"targets\":[]}"), "nothing new");
+        until("silence", () -> ledger().contains("roster_silent begins"));
+        watch.patience(200).write("GET /v1/endpoints HTTP/1.1\r\n\r\n");
+        assertEquals("[SILENCE]", watch.until("HTTP"));
+        until("old news", () -> ledger().contains("roster_old begins"));
+        String old = dial(fleet.agentPort(0)).write("GET /v1/endpoints HTTP/1.1\r\n\r\n").read().text();
+        assertFalse(old.contains("terminating"), old);
+        until("its end", () -> ledger().contains("roster_old ends"));
+        assertTrue(dial(fleet.agentPort(0)).write("GET /v1/endpoints HTTP/1.1\r\n\r\n").read().text()
+                .contains("terminating"));
+        until("what was told is written down", () -> ledger().contains(" told 0 a-m-1 draining"));
+    }
+
+    @Test
+    void aThousandWorkersStandInOneProcess() throws Exception {
+        open("[[site]]\nname = \"c\"\ndispatchers = 0\nworkers = [{ machine = \"m\", count = 1000 }]");
+        assertTrue(task(dial(port(0, 1002)), "t", "look", 1).until("\r\n0\r\n\r\n").contains("c-m-1000/t"));
+    }
+}
