The rate that a dispatcher carries, a profile by part, and decision timings

Need: the starting line for the work on large size: tasks/s on one core, CPU by stage, cost of connections, and what of a decision grows with the fleet.

--- /dev/null
+++ b/src/bench/java/rampshift/decide/DecisionBench.java
@@ -0,0 +1,174 @@
+package rampshift.decide;
+
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * What one decision costs, by the size of the fleet and the number of dispatchers that it is told of. The clock is
+ * the story's own: a task each millisecond, forty in hand, each done after 40 ms, so the time measured is the
+ * module's alone. JIT as in service: the first compiler only.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 2, time = 1)
+@Measurement(iterations = 3, time = 1)
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx512m"})
+public class DecisionBench implements Decisions {
+    private static final int IN_HAND = 40;
+    private static final int SLOTS = 64;
+
+    @Param({"10", "100", "1000", "10000"})
+    public int workers;
+
+    @Param({"1", "25", "500"})
+    public int dispatchers;
+
+    private record Out(long task, long worker) { }
+
+    private final ArrayDeque<Out> out = new ArrayDeque<>();
+    private Choice choice;
+    private Moment now = Moment.ofMillis(1_000_000);
+    private Moment wake;
+    private long tasks;
+    private long turn;
+
+    @Setup
+    public void fill() {
+        Settings s = new Settings();
+        s.seed = 7;
+        s.dispatchers = dispatchers;
+        s.mostAssignments = 5;
+        s.mayCancel = true;
+        s.secondCopies = true;
+        s.tellsStart = true;
+        s.mayProbe = false;
+        s.stopSendingWithin = Span.ofMillis(250);
+        s.types.add(new TrafficType(1, 0, Span.ofMillis(200), 3, Span.ofMillis(5000), TrafficType.Effect.IDEMPOTENT,
+                TrafficType.Group.ALL, Span.ofMillis(5000), -1));
+        choice = new Choice(s, now);
+        choice.clock(now);
+        choice.listBegins(Choice.List.REMEMBERED);
+        for (int w = 1; w <= workers; w++) {
+            choice.listed(w, 0, (w + 1) / 2, 0, true, new Moment(0), 1);
+        }
+        choice.listEnds();
+        pull();
+        for (int i = 0; i < 2000; i++) {
+            task();
+        }
+    }
+
+    private void pull() {
+        while (choice.next(this)) {
+            continue;
+        }
+    }
+
+    private void tick() {
+        now = now.plus(Span.ofMillis(1));
+        choice.clock(now);
+        if (wake != null && !now.before(wake)) {
+            wake = null;
+            choice.woken();
+            pull();
+        }
+    }
+
+    /** One task from its arrival to its end, with the timers that fall due meanwhile. */
+    @Benchmark
+    public void task() {
+        tick();
+        choice.arrived(++tasks, 0, 0, null, Span.ZERO, 1, 0, Span.ofMillis(5000));
+        pull();
+        while (out.size() > IN_HAND) {
+            Out o = out.poll();
+            choice.begun(o.task(), 0);
+            pull();
+            choice.reported(o.worker(), SLOTS - 1, 0, Double.NaN, Double.NaN);
+            choice.ended(o.task(), 0, Outcome.FINISHED, true);
+            pull();
+        }
+    }
+
+    /** A load report by itself. */
+    @Benchmark
+    public void report() {
+        choice.clock(now);
+        choice.reported(1 + turn++ % workers, SLOTS - turn % 3, 0, Double.NaN, Double.NaN);
+        pull();
+    }
+
+    /** A change of the list: one worker drains, or is back. */
+    @Benchmark
+    public void change() {
+        long worker = 1 + turn / 2 % workers;
+        choice.clock(now);
+        choice.listBegins(Choice.List.CHANGES);
+        choice.listed(worker, 0, (int) (worker + 1) / 2, 0, turn++ % 2 == 1, new Moment(0), 1);
+        choice.listEnds();
+        pull();
+    }
+
+    /** The whole list anew, nothing changed. */
+    @Benchmark
+    public void whole() {
+        choice.clock(now);
+        choice.listBegins(Choice.List.WHOLE);
+        for (int w = 1; w <= workers; w++) {
+            choice.listed(w, 0, (w + 1) / 2, 0, true, new Moment(0), 1);
+        }
+        choice.listEnds();
+        pull();
+    }
+
+    // ---- what is decided
+
+    @Override
+    public void assign(long task, long worker, Span timeout) {
+        out.add(new Out(task, worker));
+    }
+
+    @Override
+    public void cancel(long task, int assignment) {
+        choice.ended(task, assignment, Outcome.CALLED_OFF, true);
+    }
+
+    @Override
+    public void bounce(long task, Span comeBackAfter) {
+        throw new IllegalStateException("nothing is to be bounced here");
+    }
+
+    @Override
+    public void abandon(long task) {
+        throw new IllegalStateException("nothing is to be abandoned here");
+    }
+
+    @Override
+    public void probe(long worker) {
+        throw new IllegalStateException("probes are not allowed here");
+    }
+
+    @Override
+    public void subscribe() {
+        // There is nobody to ask.
+    }
+
+    @Override
+    public void wakeAt(Moment when) {
+        wake = when;
+    }
+}
--- a/src/main/java/rampshift/FleetJar.java
+++ b/src/main/java/rampshift/FleetJar.java
@@ -15,7 +15,8 @@
  * this program's own: in one jar its directory alone, which every start of `serve` reads, would have grown by half.
  */
 final class FleetJar {
-    static final Set<String> COMMANDS = Set.of("try", "fleet", "load", "experiment", "judge");
+    static final Set<String> COMMANDS = Set.of("try", "fleet", "load", "experiment", "ladder",
+            "judge", "profile");
     private static final String ENTRY = "rampshift.fleet.Commands";
     private static final String JAR = "rampshift-fleet.jar";
 
--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -33,7 +33,9 @@
               fleet FILE           the workers and the roster of a fleet file, for a dispatcher of your own
               load FILE            its clients (--folder of `fleet`, or --to ADDRESS:PORT,...)
               experiment FILE      its arms against one another, run by run, with a report (--folder)
+              ladder FILE          the rate that its dispatchers carry, and what comes of twice and four times that
               judge FILE           the ledgers of a run's --folder once more
+              profile RECORDING    where the CPU time of a dispatcher went, by the JVM's own flight recording
 
               -h, --help       print this
               -V, --version    print the version
--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -24,6 +24,7 @@
         Dispatchers dispatchers,
         List<Trouble> troubles,
         Trials trials,
+        Ladder ladder,
         List<Arm> arms) {
 
     /** Share: of the arrivals. */
@@ -109,6 +110,9 @@
     /** Pairs: one for each seed. Confidence: of the intervals, at least. */
     public record Trials(List<Long> seeds, double confidence, Span settle) { }
 
+    /** Bound: of the 99th percentile of added time. Most: the highest rate to try. */
+    public record Ladder(Span bound, double most) { }
+
     /** What is set otherwise than in the file: path to value. */
     public record Arm(String name, JsonNode set) { }
 
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -124,7 +124,8 @@
                 machines, types, arrivals(s.section("arrivals"), sites), clients(s.section("clients")),
                 workers(s.section("workers")), cold(s.section("cold")), reports(s.section("reports")),
                 roster(s.section("roster")), network(s.section("network")), dispatchers(s.section("dispatchers")),
-                troubles(s, sites), trials(s.section("experiment")), arms(s));
+                troubles(s, sites), trials(s.section("experiment")), ladder(s.section("ladder")),
+                arms(s));
         s.end();
         return plan;
     }
@@ -285,6 +286,12 @@
         return trials;
     }
 
+    private static Plan.Ladder ladder(Section s) {
+        Plan.Ladder ladder = new Plan.Ladder(s.span("bound", Span.ofMillis(2)), s.number("most", 1, 1e6, 20_000));
+        s.end();
+        return ladder;
+    }
+
     private static List<Plan.Arm> arms(Section s) {
         List<Plan.Arm> arms = new ArrayList<>();
         for (Section a : s.sections("arm")) {
--- a/src/main/java/rampshift/fleet/trial/Desk.java
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -58,6 +58,10 @@
             return tryOut(line, out);
         }
         Path file = Path.of(line.getArgList().get(0));
+        if (command.equals("profile")) {
+            Profile.read(file).print(out);
+            return 0;
+        }
         Plan plan = PlanReader.read(file, line.getOptionValue("arm"));
         long seed = number(line, "seed", plan.seed());
         return switch (command) {
@@ -67,6 +71,7 @@
             }
             case "load" -> load(line, plan, seed, out);
             case "experiment" -> new Experiment(file, plan, folder(line, "rampshift-experiment"), out).run();
+            case "ladder" -> new Ladder(file, line.getOptionValue("arm"), plan, folder(line, "rampshift-ladder"), out).run();
             default -> judge(line, plan, out);
         };
     }
--- a/src/main/java/rampshift/fleet/trial/Experiment.java
+++ b/src/main/java/rampshift/fleet/trial/Experiment.java
@@ -87,7 +87,7 @@
         return outcome;
     }
 
-    private static void dropLedgers(Path place) throws IOException {
+    static void dropLedgers(Path place) throws IOException {
         try (Stream<Path> files = Files.list(place)) {
             for (Path one : files.filter(f -> f.toString().endsWith(".ledger")).toList()) {
                 Files.delete(one);
--- /dev/null
+++ b/src/main/java/rampshift/fleet/trial/Ladder.java
@@ -0,0 +1,90 @@
+package rampshift.fleet.trial;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import rampshift.fleet.plan.Plan;
+import rampshift.fleet.plan.PlanReader;
+
+/** What the dispatchers of a plan carry: the rate at which added time passes its bound, and what comes beyond it. */
+final class Ladder {
+    private static final double FINISHED = 0.99;        // of the tasks: less is not carried, however quick
+    private static final int[] TIMES = {1, 2, 4};
+
+    private final Path file;
+    private final String arm;
+    private final Plan plan;
+    private final Path folder;
+    private final PrintStream out;
+    private final Children children = new Children();
+    private final ArrayNode rows;
+    private final ObjectNode root = new ObjectMapper().createObjectNode();
+
+    /** Arm: of the file, or null. */
+    Ladder(Path file, String arm, Plan plan, Path folder, PrintStream out) {
+        this.file = file;
+        this.arm = arm;
+        this.plan = plan;
+        this.folder = folder;
+        this.out = out;
+        rows = root.putArray("runs");
+    }
+
+    /** Status 0; 1 where a rule was broken; 3 where the tool could not load the dispatchers enough. */
+    int run() throws IOException, InterruptedException {
+        out.printf("%10s %12s %10s %10s %10s %10s %9s%n", "tasks/s", "finished/s", "added p50", "added p99",
+                "latency p99", "CPU a try", "bounced");
+        Climb climb = new Climb(plan.arrivals().rate(), plan.ladder().most());
+        boolean kept = true;
+        boolean tooBusy = false;
+        while (climb.next() > 0 && !tooBusy) {
+            Outcome o = play(climb.next());
+            kept &= o.verdict.kept();
+            boolean late = o.all("added").getValueAtPercentile(99) > plan.ladder().bound().micros();
+            boolean few = o.sum("finished") < FINISHED * o.sum("tasks");
+            tooBusy = o.isVoid() && !late && !few;
+            climb.told(!late && !few);
+        }
+        root.put("carried", climb.carried());
+        out.printf(Locale.ROOT, "carried: %.0f tasks/s with a 99th percentile of added time up to %.1f ms%n",
+                climb.carried(), plan.ladder().bound().millis());
+        for (int times : climb.carried() > 0 ? TIMES : new int[0]) {
+            kept &= play(climb.carried() * times).verdict.kept();
+        }
+        new ObjectMapper().writerWithDefaultPrettyPrinter().writeValue(folder.resolve("ladder.json").toFile(), root);
+        return tooBusy ? 3 : kept ? 0 : 1;
+    }
+
+    private Outcome play(double rate) throws IOException, InterruptedException {
+        String whole = String.format(Locale.ROOT, "%.0f", rate);
+        Path place = Files.createDirectories(folder.resolve(whole + "-" + rows.size()));
+        // The same file with another rate, so that whoever finds it in the folder can play it again.
+        List<String> lines = new ArrayList<>(Files.readAllLines(file));
+        StringBuilder set = new StringBuilder("set = { ");
+        plan.arms().stream().filter(a -> a.name().equals(arm) && a.set() != null).findFirst().ifPresent(a ->
+                a.set().fields().forEachRemaining(f -> set.append('"').append(f.getKey()).append("\" = ")
+                        .append(f.getValue()).append(", ")));
+        lines.addAll(List.of("", "[[arm]]", "name = \"rung\"", set + "\"arrivals.rate\" = " + whole + ".0 }"));
+        Path rung = Files.write(place.resolve("rung.toml"), lines);
+        Plan one = PlanReader.read(rung, "rung");
+        Outcome o = new Trial(children, one, rung, "rung", plan.seed(), place, l -> { }).play();
+        out.printf(Locale.ROOT, "%10s %12.0f %10.2f %10.2f %10.2f %10.0f %8.1f%%%s%s%n", whole,
+                o.sum("finished") / o.seconds, o.all("added").getValueAtPercentile(50) / 1000.0,
+                o.all("added").getValueAtPercentile(99) / 1000.0, o.all("latency").getValueAtPercentile(99) / 1000.0,
+                o.figures().get("CPU a try, us"), o.figures().get("bounced, %"),
+                o.verdict.kept() ? "" : "  A RULE BROKE",
+                o.isVoid() ? String.format(Locale.ROOT, "  %.1f%% sent late", 100 * o.lateShare) : "");
+        rows.add(o.json().put("rate", rate));
+        if (o.verdict.kept()) {
+            Experiment.dropLedgers(place);
+        }
+        return o;
+    }
+}
--- /dev/null
+++ b/src/test/java/rampshift/fleet/trial/ClimbTest.java
@@ -0,0 +1,46 @@
+package rampshift.fleet.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class ClimbTest {
+    @ParameterizedTest
+    @ValueSource(doubles = {30, 99, 250, 700, 1999, 7999})
+    void itFindsWhatIsCarriedToATenth(double limit) {
+        Climb climb = new Climb(250, 8000);
+        int tries = 0;
+        while (climb.next() > 0) {
+            assertTrue(++tries < 40);
+            climb.told(climb.next() <= limit);
+        }
+        assertTrue(climb.carried() <= limit && climb.carried() * 1.1 >= limit * 0.999, climb.carried() + " of " + limit);
+    }
+
+    @Test
+    void oneHiccupIsNoLimitAndTheMostIsNotPassed() {
+        Climb climb = new Climb(100, 400);
+        climb.told(false);
+        assertEquals(100, climb.next(), "once more");
+        climb.told(true);
+        climb.told(true);
+        assertEquals(400, climb.next());
+        climb.told(true);
+        assertEquals(0, climb.next());
+        assertEquals(400, climb.carried());
+    }
+
+    @Test
+    void whereNothingIsCarriedItEnds() {
+        Climb climb = new Climb(100, 400);
+        int tries = 0;
+        while (climb.next() > 0) {
+            assertTrue(++tries < 20);
+            climb.told(false);
+        }
+        assertEquals(0, climb.carried());
+    }
+}
