Clients whose whole tasks lie unread are answered; ladders, warm-up and stops in the fleet

Seen: the first ladder broke rule one at twice what the core carries: 23 of 2,998 tasks got a reset. Its own lateness was taken for theirs.

Change: before a client is closed as silent, late or for room, its bytes are read; a whole call goes on. A trouble `dispatcher-stopped` (SIGSTOP) provokes it, and the story fails without the change. Also: warm-up that counts in no figure, the host's share of the machine's time in each result, old news of the roster told once to each new watch.

Tried, not kept: at least a millisecond between two timers of the module, so that XNIO looks at its sockets in between.

--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -166,6 +166,9 @@
             if (least == null) {
                 return;
             }
+            if (least.due() && heardMeanwhile(least)) {
+                continue;
+            }
             Log.warn("clients-full", "connections", open.size());
             counters.add(Counters.Name.CLIENT_CONNECTIONS_CLOSED_FOR_ROOM);
             close(least);
@@ -212,7 +215,27 @@
         makeRoom();
     }
 
+    /**
+     * Whether more of it has come than was read: then this dispatcher was late, not its client. One that stood still
+     * for 2.6 s, and one that came late to its reads under a rush, closed clients whose whole tasks lay unread.
+     */
+    private boolean heardMeanwhile(Client client) {
+        try {
+            if (client.gone()) {
+                close(client);
+            } else if (client.busy()) {
+                client.connection.getSourceChannel().wakeupReads();
+            }
+        } catch (IOException e) {
+            close(client);
+        }
+        return client.busy() || client.ending() || !open.containsKey(client.connection);
+    }
+
     private void late(Client client) {
+        if (heardMeanwhile(client)) {
+            return;
+        }
         if (client.begun()) {
             unsound(client, 408, "half a call, and no more of it");
         } else {
--- a/src/main/java/rampshift/fleet/clients/Load.java
+++ b/src/main/java/rampshift/fleet/clients/Load.java
@@ -173,7 +173,9 @@
 
     private void arrives(Arrivals.Arrival what, Moment due) {
         Task task = new Task(++ids, what, hex(), due);
-        tally.task(what.type(), what.at());
+        if (counts(task)) {
+            tally.task(what.type(), what.at());
+        }
         out++;
         new Try(task, 0, front.pick(what.site(), due), false).start();
     }
@@ -182,6 +184,11 @@
         return String.format(Locale.ROOT, "%016x%016x", chance.nextLong(), chance.nextLong());
     }
 
+    /** Neither idle connections' tasks nor those of the warm-up are part of the figures. */
+    private boolean counts(Task task) {
+        return zero != null && !task.wanted().before(zero.plus(plan.clients().warmUp()));
+    }
+
     private Span since(Moment now) {
         return now.since(zero);
     }
@@ -390,7 +397,7 @@
             Moment now = Stamp.now();
             on = talk;
             if (sent == null) {
-                if (!standsIdle) {
+                if (!standsIdle && counts(task)) {
                     tally.sent(now.since(zero), now.since(due));
                 }
                 timer = thread.executeAfter(this::givesUp, Math.max(1, Math.round(patience().millis())),
@@ -511,12 +518,14 @@
                 idleUp.countDown();
                 return;
             }
-            tally.ended(task.what().type(), how, since(now), now.since(due), took);
-            if (how == Tally.End.FINISHED) {
+            if (counts(task)) {
+                tally.ended(task.what().type(), how, since(now), now.since(due), took);
+            }
+            if (how == Tally.End.FINISHED && counts(task)) {
                 Plan.Type t = type();
                 tally.earns(task.what().type(), since(now), now.since(task.wanted()),
                         t.due().plus(task.what().work().times(t.stretch())));
-            } else if (mayTryAgain && number < plan.clients().retries() && !allSent) {
+            } else if (how != Tally.End.FINISHED && mayTryAgain && number < plan.clients().retries() && !allSent) {
                 Span wait = plan.clients().pause().at(chance.nextDouble());
                 if (comeBack != null && plan.clients().honourReturn()) {
                     wait = wait.orLonger(seconds(comeBack));
--- a/src/main/java/rampshift/fleet/judge/Judge.java
+++ b/src/main/java/rampshift/fleet/judge/Judge.java
@@ -18,6 +18,7 @@
  */
 public final class Judge {
     private static final int EXAMPLES = 5;
+    private static final Set<String> MARKS = Set.of("trouble", "killed", "started", "stopped", "continued");
     private static final long SECOND = 1_000_000;
 
     private final long grace;
@@ -307,7 +308,7 @@
     private List<Verdict.Mark> marks(long from) {
         List<Verdict.Mark> marks = new ArrayList<>();
         for (Event e : events) {
-            if (e.word().equals("trouble") || e.word().equals("killed") || e.word().equals("started")) {
+            if (MARKS.contains(e.word())) {
                 marks.add(new Verdict.Mark((e.at() - from) / (double) SECOND,
                         String.join(" ", Arrays.copyOfRange(e.fields(), 1, e.fields().length))));
             }
--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -59,10 +59,10 @@
     /**
      * Patience: of the expiry. Late: the lateness of the tool's own sends beyond which more than one in a hundred
      * void a run. Idle: connections that sent one task and then stand idle. In hand: where above 0, a closed loop
-     * of so many at a time instead of arrivals.
+     * of so many at a time instead of arrivals. Warm-up: tasks of that time at the start count in no figure.
      */
     public record Clients(int processes, int retries, Range pause, boolean honourReturn, double patience,
-            Range deadFront, Span mostLate, int idle, int inHand, boolean keep) { }
+            Range deadFront, Span mostLate, int idle, int inHand, boolean keep, Span warmUp) { }
 
     /** Cell: so many workers share one. Stops: work ends when its assignment is called off. */
     public record Workers(boolean tellsStart, Span progress, boolean stops, boolean inOrder, Span idle, int cell,
@@ -98,20 +98,21 @@
         /** Kinds of trouble. */
         public enum Kind {
             SLOW, HANG, ERRORS, PAUSES, NEIGHBOUR, LATE_REPORTS, DRAIN, LEAVE, CRASH, RESET_BEFORE, RESET_AFTER,
-            RESET_WITHIN, HALF_ANSWER, SILENT, SLOW_BYTES, CUT, ROSTER_SILENT, ROSTER_OLD, DISPATCHER_KILLED
+            RESET_WITHIN, HALF_ANSWER, SILENT, SLOW_BYTES, CUT, ROSTER_SILENT, ROSTER_OLD, DISPATCHER_KILLED,
+            DISPATCHER_STOPPED
         }
 
         /** The dispatchers' processes are the business of whoever started them. */
         public boolean ofDispatchers() {
-            return what == Kind.DISPATCHER_KILLED;
+            return what == Kind.DISPATCHER_KILLED || what == Kind.DISPATCHER_STOPPED;
         }
     }
 
     /** Pairs: one for each seed. Confidence: of the intervals, at least. */
     public record Trials(List<Long> seeds, double confidence, Span settle) { }
 
-    /** Bound: of the 99th percentile of added time. Most: the highest rate to try. */
-    public record Ladder(Span bound, double most) { }
+    /** Bound: of the 99th percentile of added time. Most: the highest rate to try. Narrow: of the gap that may stay. */
+    public record Ladder(Span bound, double most, double narrow) { }
 
     /** What is set otherwise than in the file: path to value. */
     public record Arm(String name, JsonNode set) { }
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -126,6 +126,9 @@
                 roster(s.section("roster")), network(s.section("network")), dispatchers(s.section("dispatchers")),
                 troubles(s, sites), trials(s.section("experiment")), ladder(s.section("ladder")),
                 arms(s));
+        if (!plan.length().longerThan(plan.clients().warmUp())) {
+            s.fault("length", "is to be longer than clients.warm_up");
+        }
         s.end();
         return plan;
     }
@@ -186,7 +189,8 @@
                 s.range("wait", Range.of(200, 400)), s.flag("honour_return", true),
                 s.number("patience", 0.01, 1, 1), s.range("dead_front", Range.of(1000, 2000)),
                 s.span("most_late", Span.ofMillis(5)), s.whole("idle", 0, MOST, 0),
-                s.whole("in_hand", 0, 100_000, 0), s.flag("keep", true));
+                s.whole("in_hand", 0, 100_000, 0), s.flag("keep", true),
+                s.span("warm_up", Span.ZERO));
         s.end();
         return clients;
     }
@@ -287,7 +291,8 @@
     }
 
     private static Plan.Ladder ladder(Section s) {
-        Plan.Ladder ladder = new Plan.Ladder(s.span("bound", Span.ofMillis(2)), s.number("most", 1, 1e6, 20_000));
+        Plan.Ladder ladder = new Plan.Ladder(s.span("bound", Span.ofMillis(2)), s.number("most", 1, 1e6, 20_000),
+                s.number("narrow", 0.01, 1, 0.1));
         s.end();
         return ladder;
     }
--- a/src/main/java/rampshift/fleet/roster/Agent.java
+++ b/src/main/java/rampshift/fleet/roster/Agent.java
@@ -45,6 +45,7 @@
     private final Set<Talk> talks = new LinkedHashSet<>();
     private Moment lastDue = new Moment(0);
     private Span old = Span.ZERO;
+    private boolean restates;
     private boolean silent;
 
     public Agent(int dispatcher, XnioWorker worker, int port, Ledger ledger, Range delay,
@@ -91,9 +92,13 @@
         tell();
     }
 
-    /** It tells what the list was so long ago, to whoever asks anew; ZERO: it tells the truth again. */
+    /**
+     * It breaks all watches, and tells whoever asks then what the list was so long ago; ZERO: the same with the truth.
+     * A watch that goes on would never hear of it: it asks only for what is newer than what it has.
+     */
     public void old(Span ago) {
         old = ago;
+        restates = true;
         for (Talk talk : new ArrayList<>(talks)) {
             talk.drop();
         }
@@ -128,6 +133,7 @@
         private final Line line;
         private final MessageReader reader = new MessageReader(this::asked);
         private boolean waits;
+        private boolean restate = restates;
         private long known;
         private XnioExecutor.Key timer;
 
@@ -164,7 +170,8 @@
             if (!waits || silent) {
                 return;
             }
-            List<Entry> news = known < 0 || old.micros() > 0 ? null : versions.since(known);
+            List<Entry> news = known < 0 || restate ? null : versions.since(known);
+            restate = false;
             if (news != null && news.isEmpty() && !over) {
                 return;
             }
--- a/src/main/java/rampshift/fleet/trial/Children.java
+++ b/src/main/java/rampshift/fleet/trial/Children.java
@@ -110,6 +110,11 @@
             return 0;
         }
 
+        /** Sends it a signal by its name; of a process that has ended nothing comes. */
+        void signal(String name) throws IOException, InterruptedException {
+            new ProcessBuilder("kill", "-" + name, String.valueOf(process.pid())).start().waitFor();
+        }
+
         /** Ends it in order, or after a while outright; gone when it returns. */
         void end(long mostMs) {
             endInput();
--- a/src/main/java/rampshift/fleet/trial/Desk.java
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -33,13 +33,13 @@
             .addOption(option("to", "addresses of dispatchers, with commas"))
             .addOption(option("process", "which of the load processes this is"))
             .addOption(option("keep", "for try: keep the run's folder, here"))
-            .addOption(Option.builder().longOpt("steered").build());
+            .addOption(Option.builder().longOpt("steered").get());
 
     private Desk() {
     }
 
     private static Option option(String name, String what) {
-        return Option.builder().longOpt(name).hasArg().desc(what).build();
+        return Option.builder().longOpt(name).hasArg().desc(what).get();
     }
 
     public static int run(String[] arguments, PrintStream out) throws IOException, InterruptedException {
@@ -112,7 +112,7 @@
         boolean steered = line.hasOption("steered");
         int status = Sitting.load(plan, seed, (int) number(line, "process", 0), to, folder, steered, out);
         if (!steered && status == 0) {
-            Outcome o = Outcome.read(plan, folder, new Outcome.Costs(List.of(), List.of()),
+            Outcome o = Outcome.read(plan, folder, new Outcome.Costs(List.of(), List.of(), 0),
                     rampshift.fleet.ledger.Stamp.now());
             Table.print(o, out);
             return o.isVoid() ? 3 : 0;
--- a/src/main/java/rampshift/fleet/trial/Outcome.java
+++ b/src/main/java/rampshift/fleet/trial/Outcome.java
@@ -30,8 +30,11 @@
     static final List<String> ENDS = List.of("finished", "bounced", "abandoned", "turned_down", "broken",
             "unreachable", "no_answer");
 
-    /** Of each dispatcher: CPU seconds under load, and resident memory in KB at its end. */
-    record Costs(List<Double> cpuSeconds, List<Long> residentKb) { }
+    /**
+     * Of each dispatcher: CPU seconds under load, and resident memory in KB at its end. Stolen: of the time in which
+     * this machine's cores wanted to work, the share in which its host gave them to others.
+     */
+    record Costs(List<Double> cpuSeconds, List<Long> residentKb, double stolen) { }
 
     final Verdict verdict;
     final Costs costs;
@@ -50,7 +53,7 @@
     private Outcome(Plan plan, Verdict verdict, Costs costs, Moment zero) {
         this.verdict = verdict;
         this.costs = costs;
-        seconds = plan.length().millis() / 1000;
+        seconds = plan.length().minus(plan.clients().warmUp()).millis() / 1000;
         zeroSecond = (zero.micros() - verdict.fromMicros()) / 1e6;
     }
 
@@ -160,7 +163,7 @@
 
     ObjectNode json() {
         ObjectNode root = new ObjectMapper().createObjectNode();
-        root.put("void", isVoid()).put("late_share", lateShare).put("sent", sent).put("opened", opened)
+        root.put("void", isVoid()).put("late_share", lateShare).put("stolen", costs.stolen()).put("sent", sent).put("opened", opened)
                 .put("idle_lost", idleLost);
         ObjectNode figures = root.putObject("figures");
         figures().forEach(figures::put);
--- a/src/main/java/rampshift/fleet/trial/Table.java
+++ b/src/main/java/rampshift/fleet/trial/Table.java
@@ -28,6 +28,10 @@
         if (o.isVoid()) {
             out.printf(Locale.ROOT, "%nVOID: %.1f%% of the sends were later than allowed; this machine was too busy, "
                     + "and the figures are of the tool as much as of the dispatchers.%n", 100 * o.lateShare);
+            if (o.costs.stolen() > 0) {
+                out.printf(Locale.ROOT, "Of the time that its cores wanted, its host gave %.0f%% to others.%n",
+                        100 * o.costs.stolen());
+            }
         }
     }
 
--- a/src/main/java/rampshift/fleet/workers/Fleet.java
+++ b/src/main/java/rampshift/fleet/workers/Fleet.java
@@ -198,7 +198,6 @@
 
     /** It drains: it goes on with what it has, and the roster tells of it. */
     public void drain(String name) {
-        find(name).ill.draining = true;
         publish(name, entry(name).with(Entry.State.DRAINING));
     }
 
--- a/src/main/java/rampshift/fleet/workers/Ill.java
+++ b/src/main/java/rampshift/fleet/workers/Ill.java
@@ -15,5 +15,4 @@
     double halfAnswers;
     double silent;
     Span drip = Span.ZERO;
-    boolean draining;
 }
--- a/src/main/java/rampshift/fleet/workers/StandIn.java
+++ b/src/main/java/rampshift/fleet/workers/StandIn.java
@@ -98,7 +98,6 @@
 
     void comeBack() {
         down = false;
-        ill.draining = false;
         machine.restart(Stamp.now());
         ledger.line(Stamp.now(), "boot", uid, "cold");
         links.forEach(Link::open);
--- a/src/test/java/rampshift/fleet/clients/LoadTest.java
+++ b/src/test/java/rampshift/fleet/clients/LoadTest.java
@@ -112,6 +112,16 @@
         assertEquals(latency - 1000, histogram("added.x").getMaxValue(), 20, "less what it took at the worker");
     }
 
+    @Test
+    void whatComesWhileThingsWarmUpIsSentAndCountsInNoFigure() throws Exception {
+        JsonNode sum = play("idempotent", "[clients]\nwarm_up = \"250ms\"\n", (m, line) -> ok(line, "w/t/0"));
+        assertEquals(4, dispatcher.received.size());
+        assertEquals(2, sum.at("/types/x/tasks").asInt());
+        assertEquals(2, sum.at("/types/x/finished").asInt());
+        assertEquals(6, sum.at("/types/x/asked").asInt());
+        assertEquals(2, histogram("latency.x").getTotalCount());
+    }
+
     /** A closed loop would have sent one task in this time, and shown one slow answer. */
     @Test
     void aStallCountsFromWhenEachTaskWasDueToBeSent() throws Exception {
--- /dev/null
+++ b/src/test/java/rampshift/fleet/trial/ProfileTest.java
@@ -0,0 +1,55 @@
+package rampshift.fleet.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.time.Duration;
+import jdk.jfr.Recording;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ProfileTest {
+    @TempDir
+    Path folder;
+
+    private static volatile long sum;
+
+    private static void works(long untilNanos) {
+        while (System.nanoTime() < untilNanos) {
+            sum += Long.numberOfTrailingZeros(sum + 7);
+        }
+    }
+
+    @Test
+    void samplesOfTheThreadThatServesAreToldByPartAndThoseOfOthersLeftOut() throws Exception {
+        Path file = folder.resolve("r.jfr");
+        try (Recording recording = new Recording()) {
+            recording.enable("jdk.ExecutionSample").withPeriod(Duration.ofMillis(10));
+            recording.start();
+            long end = System.nanoTime() + 700_000_000L;
+            Thread serves = new Thread(() -> works(end), "io I/O-1");
+            Thread other = new Thread(() -> works(end), "log");
+            serves.start();
+            other.start();
+            serves.join();
+            other.join();
+            recording.dump(file);
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        Profile.read(file).print(new PrintStream(out, true));
+        String text = out.toString();
+        assertTrue(text.contains("100.0%  fleet\n"), text);
+        assertTrue(text.contains("fleet.trial.ProfileTest.works"), text);
+        int samples = Integer.parseInt(text.split(" ")[0]);
+        assertTrue(samples > 5 && samples < 90, "one thread's, not both: " + samples);
+    }
+
+    @Test
+    void whatTheHostTookIsAShareOfWhatWasWanted() {
+        assertEquals(0.4, new Host(160, 40).stolenSince(new Host(100, 0)), 1e-9);
+        assertEquals(0, new Host(0, 0).stolenSince(new Host(0, 0)));
+    }
+}
--- a/src/test/java/rampshift/fleet/trial/TrialTest.java
+++ b/src/test/java/rampshift/fleet/trial/TrialTest.java
@@ -95,6 +95,23 @@
         assertFalse(anyoneLeft());
     }
 
+    /** Met on an overloaded core: it closed clients whose whole tasks lay unread, for it had no time to read them. */
+    @Test
+    void aDispatcherThatStoodStillAnswersWhoeverHasSentItsTaskMeanwhile() throws Exception {
+        Path file = file(PLAN.replace("dispatchers = 2", "dispatchers = 1").replace("[clients]", "[clients]\nkeep = false\nretries = 0") + """
+                [[trouble]]
+                what = "dispatcher-stopped"
+                names = ["d1"]
+                at = "400ms"
+                length = "2600ms"
+                """);
+        run("experiment", file.toString(), "--folder", folder.resolve("out").toString());
+        JsonNode one = new ObjectMapper().readTree(folder.resolve("out/result.json").toFile()).at("/runs/as it is/1");
+        assertEquals("[]", one.at("/rules/0/examples").toString());
+        assertTrue(one.at("/rules/0/at_stake").asInt() > 50);
+        assertTrue(one.at("/types/look/p99_us").asInt() > 1_500_000, "the clients did wait");
+    }
+
     @Test
     void aDispatcherThatDiesAtOnceIsShownWithItsLastLines() throws Exception {
         Path file = file(PLAN + "[dispatchers]\nsettings = { TrafficTypes = [] }\n");
