--- a/src/main/java/rampshift/fleet/clients/Load.java
+++ b/src/main/java/rampshift/fleet/clients/Load.java
@@ -38,7 +38,7 @@
     private static final Span LATE_ANSWERS = Span.ofMillis(400);    // still waited for, after a client gave up
     private static final Span ASK_AGAIN = Span.ofMillis(200);
     private static final Span DIAL = Span.ofMillis(3000);
-    private static final Span IDLE_APART = Span.ofMillis(1);
+    private static final Span IDLE_APART = Span.ofMillis(10);   // they are not what is measured
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     private final Plan plan;
