--- a/src/main/java/rampshift/fleet/clients/Load.java
+++ b/src/main/java/rampshift/fleet/clients/Load.java
@@ -371,6 +371,15 @@
                 send(idleOne);
                 return;
             }
+            sendAnew(why -> {
+                front.failed(to, Stamp.now());
+                ledger.line(Stamp.now(), "unreachable", txn, to.number);
+                end(Tally.End.UNREACHABLE, true, null, -1);
+            });
+        }
+
+        /** On a connection of its own, if it is still wanted by the time that there is one. */
+        private void sendAnew(Unreachable failed) {
             dial(to, c -> {
                 Talk fresh = new Talk(to, c);
                 if (over) {
@@ -378,11 +387,7 @@
                 } else {
                     send(fresh);
                 }
-            }, why -> {
-                front.failed(to, Stamp.now());
-                ledger.line(Stamp.now(), "unreachable", txn, to.number);
-                end(Tally.End.UNREACHABLE, true, null, -1);
-            });
+            }, failed);
         }
 
         private Plan.Type type() {
@@ -473,14 +478,7 @@
             if (unread && !resent && !gaveUp) {
                 resent = true;
                 ledger.line(now, "crossed", txn, how);
-                dial(to, c -> {
-                    Talk fresh = new Talk(to, c);
-                    if (over) {
-                        fresh.drop();
-                    } else {
-                        send(fresh);
-                    }
-                }, why -> lost("unreachable"));
+                sendAnew(why -> lost("unreachable"));
                 return;
             }
             lost(how);
