Further assignments within the budget of any window, parted by earnings; new settings read

Change: Rules.ExtraFloor, RepeatRatio, RatioSpanMs, OnlyDrainingBinds, Goal.KeptPromises and BorneMisses are read and checked (file, key, what was expected), migrate points to the floor. Choice.mayGoAgain counts both sides of the window at each further assignment, a tick on the safe side; one that came back unsent is uncounted. The first further one of each type is kept for it from cheaper types, and from any that has had its own: covers floods of any one type; harm: where a dearer type never needs its own, it stays unused for the span.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -92,6 +92,8 @@
     private double coldPart;            // what cold workers can do, of the whole fleet when warm
     private double coldCredit;          // mean runs that may go to cold workers
     private double extraSends = 1;
+    private final ArrayDeque<Moment> taken = new ArrayDeque<>();        // within the budget's span
+    private final ArrayDeque<Assignment> further = new ArrayDeque<>();  // past the first of their tasks
     private final double copyPrice;     // a copy that runs is waste, a second place in a queue is not
     private Moment subscribeAt;
     private Moment holdFrom;            // what the list service has may bind from then on: a list is awaited
@@ -159,6 +161,12 @@
         Moment first = expiry.minus(row.expiry()).orEarlier(now);
         Task t = new Task(id, row, type, Math.max(width, 1), memory, first, expiry);
         tasks.put(id, t);
+        if (settings.budgetSpan.micros() > 0) {
+            taken.add(now);
+            while (now.since(taken.peek()).longerThan(settings.budgetSpan)) {
+                taken.poll();
+            }
+        }
         if (tenant < tenants.length) {
             tenants[tenant].put(now.millis());
             t.excess = excess(tenant);
@@ -265,6 +273,9 @@
         Task t = a.task;
         Worker w = a.worker;
         a.end(outcome.neverRan);
+        if (outcome == Outcome.NOT_SENT) {
+            further.remove(a);
+        }
         if (outcome == Outcome.FULL) {
             w.fullAt = now;
             waited(a, meanWork().times(FULL_WAIT).millis());
@@ -915,7 +926,36 @@
     private boolean mayAssign(Task t, Worker w) {
         return !t.closed && w.ready && t.sent.size() < settings.mostAssignments
                 && now.before(t.expiry.minus(settings.tick.times(2)))
-                && (t.open == 0 || settings.secondCopies) && licence(t, w) && coldRoom(w);
+                && (t.open == 0 || settings.secondCopies) && licence(t, w) && coldRoom(w)
+                && (t.sent.isEmpty() || mayGoAgain(t));
+    }
+
+    /**
+     * Rule 5, exact at any moment, a tick on the safe side; tasks taken leave the span like what was sent. The
+     * first in it of each type is kept for it from the others, so that a flood of one leaves room for what the
+     * next needs seconds later: the dearest first, and from a type that has had its own also for the cheaper.
+     */
+    private boolean mayGoAgain(Task t) {
+        Span span = settings.budgetSpan;
+        if (span.micros() == 0) {
+            return true;
+        }
+        while (!taken.isEmpty() && now.since(taken.peek()).longerThan(span.minus(settings.tick.times(2)))) {
+            taken.poll();
+        }
+        while (!further.isEmpty() && now.since(further.peek().sentAt).longerThan(span.plus(settings.tick))) {
+            further.poll();
+        }
+        double left = settings.budgetFloor + settings.budgetShare * taken.size() - further.size();
+        boolean hadOne = hadOne(t.type);
+        for (TrafficType o : settings.types) {
+            left -= o != t.type && (hadOne || o.earnings() > t.type.earnings()) && !hadOne(o) ? 1 : 0;
+        }
+        return left >= 1;
+    }
+
+    private boolean hadOne(TrafficType type) {
+        return further.stream().anyMatch(a -> a.task.type == type);
     }
 
     /** Rule 2: what the traffic type allows after the assignments so far. */
@@ -965,6 +1005,9 @@
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
         a.saidIdle = w.othersAt != null && idle(w, t)
                 && meanWork().times(AGES).longerThan(now.since(w.othersAt));
+        if (!t.sent.isEmpty() && settings.budgetSpan.micros() > 0) {
+            further.add(a);
+        }
         a.begin();
         if (warmth(w) < 1) {
             coldCredit -= cost(t);
--- a/src/main/java/rampshift/migrate/Migration.java
+++ b/src/main/java/rampshift/migrate/Migration.java
@@ -107,6 +107,11 @@
             leftOut.add("settings.Me " + show(me) + ": there is no pool of dispatchers there");
         }
         set(settings, "settings.", "PeersTotal", shape.dispatchers());
+        Object floor = part(settings, "Rules").get("ExtraFloor");
+        if (floor != null) {
+            lookAt.add("settings.Rules.ExtraFloor " + show(floor) + ": each dispatcher has so many further assignments"
+                    + " in a span, and their number is another");
+        }
     }
 
     private void types(Map<String, Object> settings) {
--- a/src/main/java/rampshift/settings/SettingsReader.java
+++ b/src/main/java/rampshift/settings/SettingsReader.java
@@ -58,6 +58,13 @@
         s.wastePrice = number(costs, "Waste", 0);
         s.askWithin = span(rules, "AskWithinMs", 0);
         s.drainGrace = span(rules, "StopSendingWithinMs", 0);
+        s.onlyDrainingBinds = strictFlag(rules, "Rules", "OnlyDrainingBinds");
+        if (rules.get("ExtraFloor") != null || rules.get("RepeatRatio") != null) {
+            s.budgetFloor = atLeast(0, rules, "Rules", "ExtraFloor", 0);
+            s.budgetShare = atLeast(0, rules, "Rules", "RepeatRatio", 0);
+            s.budgetSpan = Span.ofMillis(atLeast(1, rules, "Rules", "RatioSpanMs", 0));
+        }
+        tail(s, part("Goal"));
         s.coldFrom = number(rules, "ColdFrom", 1);
         s.coldFor = span(rules, "ColdMs", 0);
         s.tipMultiple = number(rules, "TipMultiple", 1);
@@ -79,6 +86,18 @@
         return s;
     }
 
+    private static void tail(Settings s, Map<String, Object> goal) {
+        double kept = atLeast(0, goal, "Goal", "KeptPromises", 0);
+        if (kept > 0) {
+            double all = kept;
+            for (String part : List.of("Whole", "WorstWindow", "WorstClass", "WorstTenant")) {
+                all += number(goal, part, 0);
+            }
+            s.tailWeight = kept / all;
+            s.tailBorne = atLeast(0, goal, "Goal", "BorneMisses", 0);
+        }
+    }
+
     /** What only a host on sockets needs. */
     public Platform platform() {
         Map<String, Object> limits = part("Limits");
@@ -177,6 +196,23 @@
         throw new Malformed("setting " + name + " is not a number");
     }
 
+    private static double atLeast(double least, Map<String, Object> from, String where, String name, double ifAbsent) {
+        double value = number(from, name, ifAbsent);
+        if (!(value >= least)) {
+            throw new Malformed("setting " + where + "." + name
+                    + (from.get(name) == null ? " is missing" : " is " + value) + ", expected " + least + " or more");
+        }
+        return value;
+    }
+
+    private static boolean strictFlag(Map<String, Object> from, String where, String name) {
+        Object value = from.get(name);
+        if (value != null && !(value instanceof Boolean)) {
+            throw new Malformed("setting " + where + "." + name + " is " + value + ", expected true or false");
+        }
+        return Boolean.TRUE.equals(value);
+    }
+
     private static Span span(Map<String, Object> from, String name, double ifAbsent) {
         return Span.ofMillis(number(from, name, ifAbsent));
     }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -5,7 +5,13 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -435,6 +441,84 @@
         assertTrue(cold > 0 && cold <= 15, "a fifth of a mean run is earned by two sends: " + cold);
     }
 
+    // ---- rule 5: the budget of further assignments
+
+    private static Host budgeted() {
+        Host host = new Host();
+        host.settings.budgetFloor = 2;
+        host.settings.budgetShare = 0.1;
+        host.settings.budgetSpan = Span.ofMillis(5000);
+        return host;
+    }
+
+    /** Met on every day of the first deployment with a budget: 3 further ones where 6 tasks allowed 2.6. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 3, 4, 5, 6})
+    void furtherAssignmentsStayWithinTheBudgetOfAnyWindow(int seed) {
+        Random random = new Random(seed);
+        Host host = budgeted().fleet(12);
+        List<Double> taken = new ArrayList<>();
+        Map<String, Double> further = new LinkedHashMap<>();    // "task number" to when it was sent
+        Map<Long, Integer> sent = new HashMap<>();
+        List<long[]> out = new ArrayList<>();
+        int seen = 0;
+        int most = 0;
+        for (int i = 0; i < 4000; i++) {
+            host.after(random.nextDouble() < 0.02 ? 3000 * random.nextDouble() : 20 * random.nextDouble());
+            if (random.nextDouble() < 0.3 || out.isEmpty()) {
+                taken.add(host.now());
+                host.task(random.nextInt(4));
+            } else {
+                long[] a = out.remove(random.nextInt(out.size()));
+                Outcome outcome = Outcome.values()[random.nextInt(Outcome.values().length)];
+                if (outcome == Outcome.NOT_SENT) {
+                    further.remove(a[0] + " " + a[1]);
+                }
+                host.ended(a[0], (int) a[1], outcome);
+            }
+            for (; seen < host.said.size(); seen++) {
+                String[] words = host.said.get(seen).split(" ");
+                if (words[0].equals("assign")) {
+                    long id = Long.parseLong(words[1]);
+                    int number = sent.merge(id, 1, Integer::sum) - 1;
+                    out.add(new long[] {id, number});
+                    if (number > 0) {
+                        further.put(id + " " + number, host.now());
+                    }
+                }
+            }
+            double from = host.now() - 5000;
+            long used = further.values().stream().filter(at -> at > from).count();
+            double allowed = 2 + 0.1 * taken.stream().filter(at -> at > from).count();
+            boolean justNow = further.containsValue(host.now());
+            assertTrue(!justNow || used <= allowed, used + " of " + allowed + " at step " + i);
+            most = Math.max(most, (int) used);
+        }
+        assertTrue(most >= 3, "it is made use of: " + most);
+    }
+
+    @Test
+    void aFloodOfOneTypesRetriesLeavesRoomForWhatAnotherNeeds() {
+        Host host = budgeted().fleet(12);
+        for (int i = 0; i < 30; i++) {
+            long id = host.after(50).task(IDEMPOTENT);
+            host.ended(id, 0, Outcome.FULL).ended(id, 1, Outcome.FINISHED);
+        }
+        long mark = host.after(50).task(FINGERPRINTED);
+        host.ended(mark, 0, Outcome.FULL);
+        assertTrue(host.worker(mark, 1) > 0, "it goes again");
+    }
+
+    @Test
+    void aTaskThatTheBudgetLeavesNoRoomForIsAnsweredAtOnce() {
+        Host host = budgeted().fleet(12);
+        for (int i = 0; i < 6; i++) {
+            long id = host.task(IDEMPOTENT);
+            host.ended(id, 0, Outcome.FULL).ended(id, 1, Outcome.FULL).ended(id, 2, Outcome.FULL);
+        }
+        assertTrue(host.count("bounce") >= 4, host.said.toString());
+    }
+
     // ---- after a restart, and where the list's source changes
 
     /** Met when 65 of 93 dispatchers were killed at once: 8 sends to workers that had drained meanwhile. */
--- a/src/test/java/rampshift/settings/ConfigurationTest.java
+++ b/src/test/java/rampshift/settings/ConfigurationTest.java
@@ -51,6 +51,13 @@
         "\"TrafficTypes\"            | \"LoadInfo\":{\"How\":\"some\"},\"TrafficTypes\" | setting LoadInfo.How is some, not inline",
         "\"TrafficTypes\"            | \"LoadInfo\":{\"How\":7},\"TrafficTypes\" | setting LoadInfo.How is 7.0, not inline",
         "\"TrafficTypes\"            | \"LoadInfo\":[],\"TrafficTypes\" | setting LoadInfo is not an object",
+        "\"TrafficTypes\"            | \"Rules\":{\"ExtraFloor\":2},\"TrafficTypes\" | setting Rules.RatioSpanMs is missing, expected 1.0",
+        "\"TrafficTypes\"            | \"Rules\":{\"ExtraFloor\":-2,\"RatioSpanMs\":9},\"TrafficTypes\" | setting Rules.ExtraFloor is -2.0, expected 0.0",
+        "\"TrafficTypes\"            | \"Rules\":{\"RepeatRatio\":\"a\"},\"TrafficTypes\" | setting RepeatRatio is not a number",
+        "\"TrafficTypes\"            | \"Rules\":{\"RepeatRatio\":0.1,\"RatioSpanMs\":0},\"TrafficTypes\" | setting Rules.RatioSpanMs is 0.0, expected 1.0",
+        "\"TrafficTypes\"            | \"Rules\":{\"OnlyDrainingBinds\":1},\"TrafficTypes\" | setting Rules.OnlyDrainingBinds is 1.0, expected true",
+        "\"TrafficTypes\"            | \"Goal\":{\"KeptPromises\":-1},\"TrafficTypes\" | setting Goal.KeptPromises is -1.0, expected 0.0",
+        "\"TrafficTypes\"            | \"Goal\":{\"KeptPromises\":1,\"BorneMisses\":-1},\"TrafficTypes\" | setting Goal.BorneMisses is -1.0, expected 0.0",
         "\"TrafficTypes\"            | \"Zone\":2,\"Zones\":[\"a\",\"b\"],\"TrafficTypes\" | setting Zone is 2, and Zones has 2",
         "\"TrafficTypes\"            | \"Zone\":-1,\"TrafficTypes\" | setting Zone is -1",
         "\"TrafficTypes\"            | \"Zone\":\"a\",\"TrafficTypes\" | setting Zone is not a number",
@@ -61,6 +68,23 @@
         assertTrue(named.startsWith("no JSON") || e.getMessage().contains(named), e.getMessage());
     }
 
+    @Test
+    void theFurtherRulesAndTheTailAreReadWhereTheyAreStated() throws Exception {
+        Configuration c = read(GOOD.replace("\"TrafficTypes\"", "\"Rules\":{\"ExtraFloor\":2,\"RepeatRatio\":0.1,"
+                + "\"RatioSpanMs\":5000,\"OnlyDrainingBinds\":true},\"Goal\":{\"Whole\":0.6,\"KeptPromises\":0.2,"
+                + "\"BorneMisses\":0.02},\"TrafficTypes\""));
+        var s = c.settings.read(c.seed);
+        assertEquals(2, s.budgetFloor);
+        assertEquals(0.1, s.budgetShare);
+        assertEquals(5000, s.budgetSpan.millis());
+        assertTrue(s.onlyDrainingBinds);
+        assertEquals(0.25, s.tailWeight, 1e-9);
+        assertEquals(0.02, s.tailBorne);
+        var plain = read(GOOD).settings.read(0);
+        assertEquals(0, plain.budgetSpan.micros() + plain.tailWeight);
+        assertFalse(plain.onlyDrainingBinds);
+    }
+
     @ParameterizedTest
     @CsvSource({"{},true", "{\"How\":\"inline\"},true", "{\"How\":\"on_probe\"},true", "{\"How\":\"off\"},false"})
     void workersReportTheirLoadUnlessItIsSaidThatTheyDoNot(String load, boolean reports) throws Exception {
