What never ran earns no credit for cold workers

The tap shows 94 sends in its last 2 s from 49 dispatchers, 50 of them answered full, and 26 a second, less than the fleet's mean of 34: no rush on this one, all were sent twice what they can do. Line at fault: earnColdCredit counted every placing, also of what was then turned away, so with 1.8 assignments a task and 1.7 tries cold workers got 0.75 of their part of the sends, not of what runs. Ruled out: a herd on fresh idle reports (1.4 to 1.9 sends a dispatcher), an unknown birth (all were told within 1 s). Change: an assignment that never ran gives its credit back. Covers overload of any cause, unreachable workers too; harm: a fleet that refuses nearly all warms its new workers more slowly.

--- a/src/main/java/rampshift/decide/Assignment.java
+++ b/src/main/java/rampshift/decide/Assignment.java
@@ -17,6 +17,8 @@
     boolean saidIdle;
     /** It has begun, but its notes of progress have ended without an answer. */
     boolean lost;
+    /** What it counted for when what cold workers may be sent was reckoned, in mean runs. */
+    double coldCredit;
     boolean ended;
     boolean neverRan;
     boolean calledOff;
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -273,6 +273,9 @@
         Task t = a.task;
         Worker w = a.worker;
         a.end(outcome.neverRan);
+        if (outcome.neverRan) {
+            earnColdCredit(-a.coldCredit);
+        }
         if (outcome == Outcome.NOT_SENT) {
             further.remove(a);
         }
@@ -679,7 +682,7 @@
             // In a large fleet a few busy candidates tell little: draw again before bouncing.
             t.asked = t.draws >= DRAWS;
             if (t.asked && best == null) {
-                earnColdCredit(t);      // in a fleet that is cold as a whole nothing was ever sent
+                earnColdCredit(cost(t));      // in a fleet that is cold as a whole nothing was ever sent
             }
             return t.asked ? giveUp(t, out) : place(t, out);
         }
@@ -689,7 +692,6 @@
             }
         }
         extraSends = Math.min(MOST_SAVED, extraSends + EXTRA_SENDS);
-        earnColdCredit(t);
         return assign(t, best, out);
     }
 
@@ -985,14 +987,15 @@
     /**
      * Rule 4, with no word among dispatchers: of what each sends, cold workers may get the part that what
      * they can do is of the whole fleet when warm, times a share of the stated multiple. Over all of them,
-     * however unlike their traffic, that adds up to this share of what cold ones can do, short of overload.
+     * however unlike their traffic, that adds up to this share of what cold ones can do: what never ran earns
+     * nothing, or where a fleet turns half away as full cold ones would be sent twice what was reckoned.
      */
     private boolean coldRoom(Worker w) {
         return warmth(w) >= 1 || coldCredit > 0;
     }
 
-    private void earnColdCredit(Task t) {
-        coldCredit = Math.min(1, coldCredit + COLD_SHARE * settings.tipMultiple * coldPart * cost(t));
+    private void earnColdCredit(double cost) {
+        coldCredit = Math.min(1, coldCredit + COLD_SHARE * settings.tipMultiple * coldPart * cost);
     }
 
     /** In mean runs. */
@@ -1005,6 +1008,10 @@
         Assignment a = new Assignment(t, t.sent.size(), w, now, predicted);
         a.saidIdle = w.othersAt != null && idle(w, t)
                 && meanWork().times(AGES).longerThan(now.since(w.othersAt));
+        if (t.open == 0) {
+            a.coldCredit = cost(t);
+            earnColdCredit(a.coldCredit);
+        }
         if (!t.sent.isEmpty() && settings.budgetSpan.micros() > 0) {
             further.add(a);
         }
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -441,6 +441,33 @@
         assertTrue(cold > 0 && cold <= 15, "a fifth of a mean run is earned by two sends: " + cold);
     }
 
+    /** Met in a release under load: a fleet that turned half away sent cold workers 2.2 times what they could do. */
+    @Test
+    void whatIsTurnedAwayEarnsColdWorkersNothing() {
+        Host host = new Host();
+        host.settings.coldFrom = 0.5;
+        host.settings.coldFor = Span.ofMillis(1_000_000);
+        host.settings.tipMultiple = 4;
+        host.fleet(9).change(10, true, host.now() - 1);
+        int ran = 0;
+        for (int i = 0; i < 400; i++) {
+            for (int w = 1; w <= 10; w++) {
+                host.free(w, w == 10 ? 8 : 0);
+            }
+            long id = host.task(SIDE_EFFECTING);
+            int last = 0;
+            while (last < 3 && host.worker(id, last) != 10) {
+                host.ended(id, last++, Outcome.FULL);
+            }
+            if (host.worker(id, last) > 0) {
+                host.begun(id, last).after(50).ended(id, last, Outcome.FINISHED);
+                ran++;
+            }
+        }
+        long cold = host.said.stream().filter(s -> s.startsWith("assign") && s.endsWith(" 10")).count();
+        assertTrue(cold > 0 && cold <= ran * 0.106 + 1, cold + " for " + ran + " that ran");
+    }
+
     // ---- rule 5: the budget of further assignments
 
     private static Host budgeted() {
