Useless tasks cost one assignment; no rush to cold workers; only draining binds

Tasks that err anywhere, 16 to 42% of all, went to three workers each, and judge() set those aside. Evidence for the task's doing: those that went on erred at the next worker too. Change: Choice.erred keeps of the tasks that went on whether the next worker erred too; while most did, an error ends the task and marks its worker little. Covers errors of any sort in common or none; harm: many bad workers at once look the same. It fades in four mean runs, then one goes on again. Cause 2: a place in a queue cost as much as a copy that runs where load is reported. A queued place that is called off runs nothing (site file: a cancel drops waiting work). Change: QUEUE_PRICE wherever starts are told. Ruled out: too much credit over time (17 a second is the fleet's mean). Change: the odds in the draw are bounded by the stated multiple and by the part of what is sent that runs. Change 4: a worker called gone without having drained is sent to again once it speaks itself (rule 6). Budget and Timers are bookkeeping of their own now.

--- a/src/bench/java/rampshift/decide/DecisionBench.java
+++ b/src/bench/java/rampshift/decide/DecisionBench.java
@@ -58,7 +58,7 @@
         choice.clock(now);
         choice.listBegins(Choice.List.REMEMBERED);
         for (int w = 1; w <= workers; w++) {
-            choice.listed(w, 0, (w + 1) / 2, 0, true, new Moment(0), SLOTS);
+            choice.listed(w, 0, (w + 1) / 2, 0, Choice.Listed.READY, new Moment(0), SLOTS);
         }
         choice.listEnds();
         pull();
@@ -113,7 +113,7 @@
         long worker = 1 + turn / 2 % workers;
         choice.clock(now);
         choice.listBegins(Choice.List.CHANGES);
-        choice.listed(worker, 0, (int) (worker + 1) / 2, 0, turn++ % 2 == 1, new Moment(0), SLOTS);
+        choice.listed(worker, 0, (int) (worker + 1) / 2, 0, turn++ % 2 == 1 ? Choice.Listed.READY : Choice.Listed.DRAINING, new Moment(0), SLOTS);
         choice.listEnds();
         pull();
     }
@@ -124,7 +124,7 @@
         choice.clock(now);
         choice.listBegins(Choice.List.WHOLE);
         for (int w = 1; w <= workers; w++) {
-            choice.listed(w, 0, (w + 1) / 2, 0, true, new Moment(0), SLOTS);
+            choice.listed(w, 0, (w + 1) / 2, 0, Choice.Listed.READY, new Moment(0), SLOTS);
         }
         choice.listEnds();
         pull();
--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -2,11 +2,9 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.PriorityQueue;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -52,17 +50,18 @@
     private static final double FAR_MORE = 2;           // times
     private static final int RESTORED = 8;              // tasks at once at which a trickle has grown up
     private static final double OVERDUE = 2;            // runs after which a running task counts as slow
-    private static final double COLD_ODDS = 2;          // in the draw, times the warmth that is sure at least
+    private static final double COLD_RUSH = 2.5;        // times the stated multiple, if all took it
     private static final double COLD_SHARE = 0.5;       // of the stated multiple that is ever used
 
     /** How a list of workers came. */
     public enum List { FAILED, CHANGES, WHOLE, REMEMBERED }
 
+    /** What a list says of a worker. */
+    public enum Listed { READY, DRAINING, GONE }
+
     private static final EnumSet<Outcome> BAD =
             EnumSet.of(Outcome.ERRED, Outcome.NO_CONNECTION, Outcome.BROKEN, Outcome.TIMED_OUT);
 
-    private record Timer(Moment at, long order, Task task) { }
-
     private final Settings settings;
     private final Chance chance;
     private Moment now;
@@ -70,9 +69,7 @@
     private final Roster roster;
     private final ArrayDeque<Task> todo = new ArrayDeque<>();
     private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
-    private final PriorityQueue<Timer> timers =
-            new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::order));
-    private long timerOrder;
+    private final Timers timers = new Timers();
     private Moment armed;
     private final Samples[] work;                                  // running times by traffic type
     private final Samples[] tenants;                               // times of the last arrivals
@@ -88,12 +85,14 @@
     private boolean distrust;
     private boolean blind;                     // this task is placed without the reports: they did not hold
     private final Samples reportsHeld = new Samples(8);
+    private final Aged again = new Aged(16);        // 1: a task that erred did so at the next worker too
     private final Aged begins = new Aged(32);       // from the first send of a task to its start
     private double coldPart;            // what cold workers can do, of the whole fleet when warm
     private double coldCredit;          // mean runs that may go to cold workers
+    private double coldOdds;            // in this draw, times their warmth
+    private final Aged accepted = new Aged(32);     // 0: never ran, turned away as a rule
     private double extraSends = 1;
-    private final ArrayDeque<Moment> taken = new ArrayDeque<>();        // within the budget's span
-    private final ArrayDeque<Assignment> further = new ArrayDeque<>();  // past the first of their tasks
+    private final Budget budget;
     private final double copyPrice;     // a copy that runs is waste, a second place in a queue is not
     private Moment subscribeAt;
     private Moment holdFrom;            // what the list service has may bind from then on: a list is awaited
@@ -104,12 +103,13 @@
         this.now = now;
         copyPrice = Math.max(1, settings.wastePrice / CHEAP_WASTE);
         chance = new Chance(settings.seed);
+        budget = new Budget(settings);
         roster = new Roster(settings.zone);
         work = Samples.rows(settings.types.size(), 32);
         tenants = Samples.rows(settings.tenantQuotas.size(), 32);
         if (settings.listOnRequest) {
             subscribeAt = now;
-            timer(now, null);
+            timers.set(now, null);
         }
     }
 
@@ -120,9 +120,9 @@
     }
 
     /**
-     * The list service was asked, and what it has to tell counts as told already, longSince or from now. Once the
-     * grace is over nothing goes by the old list until the next one, or word that none comes (FAILED). Met when a
-     * whole fleet restarts; covers any change of the list's source. Harm: a silent source delays all tasks.
+     * What the list service has counts as told already, longSince or from now: once the grace is over nothing
+     * goes by the old list until the next, or word that none comes (FAILED). Met when a whole fleet restarts;
+     * covers any change of the list's source. Harm: a silent source delays all tasks.
      */
     public void listAwaited(boolean longSince) {
         holdFrom = longSince ? now : now.plus(settings.drainGrace);
@@ -136,12 +136,12 @@
         if (kind == List.FAILED) {
             // Spaced out and scattered, so that a restart of all dispatchers does not drown the list service.
             subscribeAt = now.plus(settings.askWithin.times(RESUBSCRIBE * (0.5 + chance.next())));
-            timer(subscribeAt, null);
+            timers.set(subscribeAt, null);
         }
     }
 
-    public void listed(long id, int zone, int cell, int kind, boolean ready, Moment bornAt, double weight) {
-        Worker w = roster.put(id, zone, cell, kind, ready, bornAt);
+    public void listed(long id, int zone, int cell, int kind, Listed as, Moment bornAt, double weight) {
+        Worker w = roster.put(id, zone, cell, kind, as, bornAt);
         w.kin.size = Math.max(w.kin.size, weight);
         if (settings.liveWeights && weight > 0 && w.kin.room.count() > 0) {
             // The size over 1 + what is held a core: a report of every worker, the same for all dispatchers.
@@ -161,12 +161,7 @@
         Moment first = expiry.minus(row.expiry()).orEarlier(now);
         Task t = new Task(id, row, type, Math.max(width, 1), memory, first, expiry);
         tasks.put(id, t);
-        if (settings.budgetSpan.micros() > 0) {
-            taken.add(now);
-            while (now.since(taken.peek()).longerThan(settings.budgetSpan)) {
-                taken.poll();
-            }
-        }
+        budget.taken(now);
         if (tenant < tenants.length) {
             tenants[tenant].put(now.millis());
             t.excess = excess(tenant);
@@ -179,7 +174,7 @@
         earningsAsked.put(earnings(t));
         dues.put(row.due().millis());
         queue(t);
-        timer(expiry.minus(settings.tick.times(2)), t);
+        timers.set(expiry.minus(settings.tick.times(2)), t);
     }
 
     public void begun(long id, int number) {
@@ -277,7 +272,9 @@
             earnColdCredit(-a.coldCredit);
         }
         if (outcome == Outcome.NOT_SENT) {
-            further.remove(a);
+            budget.neverSent(a);
+        } else if (outcome != Outcome.CALLED_OFF) {
+            accepted.put(now, outcome.neverRan ? 0 : 1);
         }
         if (outcome == Outcome.FULL) {
             w.fullAt = now;
@@ -290,8 +287,13 @@
         }
         if (outcome == Outcome.FINISHED) {
             finished(a);
+        } else if (outcome == Outcome.ERRED) {
+            erred(a);
         } else if (BAD.contains(outcome)) {
-            judge(w, true);
+            judge(w, 1);
+            if (w.gone && w.ready) {
+                roster.ready(w, false);
+            }
         }
         if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
             word(w);
@@ -326,6 +328,9 @@
     private void word(Worker w) {
         w.lastWord = now;
         w.probeSilent = false;
+        if (settings.onlyDrainingBinds && w.gone && !w.ready) {
+            roster.ready(w, true);      // rule 6: the list's word loses against its own
+        }
     }
 
     private void finished(Assignment a) {
@@ -338,20 +343,45 @@
         }
         w.sawRun(work(a.task).millis(), Math.max(ran.millis(), settings.tick.millis() / 2), warmth(w) >= 1);
         w.lostAt.remove(a.task.typeNumber);
-        judge(w, false);
+        judge(w, 0);
+        if (a.task.erredAt != null && a.task.erredAt != w) {
+            again.put(now, 0);
+        }
+    }
+
+    /**
+     * The worker's doing or the task's? Those that went on tell: while most err at the next too, errors
+     * are the tasks', whatever they share: such go nowhere else, and workers keep their name. This fades,
+     * and the next is tried again. Harm: many workers that err at once look the same.
+     */
+    private void erred(Assignment a) {
+        Task t = a.task;
+        if (t.erredAt != null && t.erredAt != a.worker) {
+            again.put(now, 1);
+            judge(t.erredAt, 0);
+        } else {
+            judge(a.worker, 1 - errsAgain());
+        }
+        t.erredAt = a.worker;
+    }
+
+    /** How likely a task that erred is to do so at any other worker. */
+    private double errsAgain() {
+        return again.mean(now, meanWork().times(KIN_AGES), 0, OLD_SAY);
     }
 
     /** Sets a worker aside, or lets its trickle grow: it doubles while it goes well. */
-    private void judge(Worker w, boolean wasBad) {
-        w.bad.put(wasBad ? 1 : 0);
-        if (w.trickle > 0) {
+    private void judge(Worker w, double bad) {
+        w.bad.put(bad);
+        boolean wasBad = bad > 0.5;
+        if (w.trickle > 0 && (wasBad || bad == 0)) {
             w.trickle = wasBad ? 1 : w.trickle * 2;
             w.trickleFrom = wasBad ? now.plus(meanWork().times(OVERDUE)) : now;
             if (w.trickle >= RESTORED) {
                 w.trickle = 0;
                 w.bad.clear();
             }
-        } else if (w.bad.sum() >= BAD_LEAST && w.bad.mean(0) >= BAD_SHARE) {
+        } else if (w.trickle == 0 && w.bad.sum() >= BAD_LEAST && w.bad.mean(0) >= BAD_SHARE) {
             w.trickle = 1;
             w.trickleFrom = now.plus(meanWork().times(OVERDUE));
         }
@@ -395,10 +425,6 @@
         }
     }
 
-    private void timer(Moment at, Task t) {
-        timers.add(new Timer(at, timerOrder++, t));
-    }
-
     private Span meanWork() {
         return Span.ofMillis(anyWork.mean(settings.types.get(0).due().millis()));
     }
@@ -588,8 +614,8 @@
                 return true;
             }
         }
-        while (!timers.isEmpty() && !now.before(timers.peek().at())) {
-            Task t = timers.poll().task();
+        while (timers.due(now)) {
+            Task t = timers.poll();
             if (t != null && !t.closed) {
                 queue(t);
             }
@@ -606,8 +632,8 @@
             out.subscribe();
             return true;
         }
-        if (!timers.isEmpty() && (armed == null || timers.peek().at().before(armed))) {
-            armed = timers.peek().at();
+        if (timers.next() != null && (armed == null || timers.next().before(armed))) {
+            armed = timers.next();
             out.wakeAt(armed);
             return true;
         }
@@ -624,9 +650,12 @@
                 return giveUp(t, out);
             }
             held.add(t);
-            timer(now.plus(left.orLonger(settings.tick)), t);
+            timers.set(now.plus(left.orLonger(settings.tick)), t);
             return false;
         }
+        if (t.open == 0 && t.erredAt != null && errsAgain() > 0.5) {
+            return giveUp(t, out);
+        }
         while (!t.copies.isEmpty()) {
             Worker w = t.copies.poll();
             if (extraSends >= copyPrice + RESCUE_RESERVE && mayAssign(t, w)) {
@@ -772,6 +801,9 @@
             int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
             // What can't go on to another queue is placed once: more are looked at.
             most *= !settings.reportsLoad && !mayCopy(t) ? ONCE_MORE : 1;
+            // The credit bounds what cold ones get over time, the odds a rush of all to one that has room.
+            coldOdds = COLD_RUSH * settings.tipMultiple * side.size() / (most * (double) roster.ready())
+                    * accepted.mean(now, meanWork().times(KIN_AGES), 1, OLD_SAY);
             int found = 0;
             for (int i = 0; i < side.size() && found < most; i++) {
                 int j = i + (int) (chance.next() * (side.size() - i));
@@ -788,7 +820,7 @@
 
     private boolean eligible(Task t, Worker w) {
         return (t.type.kind() < 0 || t.type.kind() == w.kind) && (distrust || trusted(w, t)) && licence(t, w)
-                && (warmth(w) >= 1 || coldRoom(w) && chance.next() < COLD_ODDS * warmth(w));
+                && (warmth(w) >= 1 || coldRoom(w) && chance.next() < coldOdds * warmth(w));
     }
 
     private boolean trusted(Worker w, Task t) {
@@ -817,8 +849,7 @@
             return;
         }
         surveyAt = now;
-        int ready = 0, aside = 0;
-        double size = 0, cold = 0;
+        double ready = 0, aside = 0, size = 0, cold = 0;
         for (Worker w : roster.all) {
             if (w.ready) {
                 ready++;
@@ -860,7 +891,7 @@
         }
         if (t.echoesDue > 0) {
             t.probeUntil = now.plus(wait);
-            timer(t.probeUntil, t);
+            timers.set(t.probeUntil, t);
         }
     }
 
@@ -893,8 +924,9 @@
         if (open == null) {
             return false;
         }
-        timer(now.plus(open.begunAt == null ? patience(open) : meanWork().times(0.5)).plus(settings.tick), t);
-        double price = open.begunAt != null ? copyPrice : settings.reportsLoad ? 1 : QUEUE_PRICE;
+        Span look = open.begunAt == null ? patience(open) : meanWork().times(0.5);
+        timers.set(now.plus(look).plus(settings.tick), t);
+        double price = open.begunAt != null ? copyPrice : settings.tellsStart ? QUEUE_PRICE : 1;
         if (hopeless && !mayGoFurther(t)) {
             return giveUp(t, out);      // held to its expiry, the client could not come back in time
         }
@@ -933,31 +965,16 @@
     }
 
     /**
-     * Rule 5, exact at any moment, a tick on the safe side; tasks taken leave the span like what was sent. The
-     * first in it of each type is kept for it from the others, so that a flood of one leaves room for what the
-     * next needs seconds later: the dearest first, and from a type that has had its own also for the cheaper.
+     * Rule 5. Each type's first further one in the span is kept from cheaper types, and from any that has had
+     * its own: no flood of one uses up what the next needs.
      */
     private boolean mayGoAgain(Task t) {
-        Span span = settings.budgetSpan;
-        if (span.micros() == 0) {
-            return true;
-        }
-        while (!taken.isEmpty() && now.since(taken.peek()).longerThan(span.minus(settings.tick.times(2)))) {
-            taken.poll();
-        }
-        while (!further.isEmpty() && now.since(further.peek().sentAt).longerThan(span.plus(settings.tick))) {
-            further.poll();
-        }
-        double left = settings.budgetFloor + settings.budgetShare * taken.size() - further.size();
-        boolean hadOne = hadOne(t.type);
+        double left = budget.left(now);
+        boolean hadOne = budget.used(t.type);
         for (TrafficType o : settings.types) {
-            left -= o != t.type && (hadOne || o.earnings() > t.type.earnings()) && !hadOne(o) ? 1 : 0;
+            left -= o != t.type && (hadOne || o.earnings() > t.type.earnings()) && !budget.used(o) ? 1 : 0;
         }
-        return left >= 1;
-    }
-
-    private boolean hadOne(TrafficType type) {
-        return further.stream().anyMatch(a -> a.task.type == type);
+        return !budget.stated() || left >= 1;
     }
 
     /** Rule 2: what the traffic type allows after the assignments so far. */
@@ -1012,15 +1029,13 @@
             a.coldCredit = cost(t);
             earnColdCredit(a.coldCredit);
         }
-        if (!t.sent.isEmpty() && settings.budgetSpan.micros() > 0) {
-            further.add(a);
-        }
+        budget.sent(a);
         a.begin();
         if (warmth(w) < 1) {
             coldCredit -= cost(t);
         }
         if (t.copies.isEmpty()) {
-            timer(now.plus(patience(a)).plus(settings.tick), t);
+            timers.set(now.plus(patience(a)).plus(settings.tick), t);
         } else {
             t.waiting = true;
             todo.addFirst(t);
--- a/src/main/java/rampshift/decide/Roster.java
+++ b/src/main/java/rampshift/decide/Roster.java
@@ -28,10 +28,11 @@
     void beginWhole() {
         for (Worker w : all) {
             w.ready = false;
+            w.gone = !w.drains;
         }
     }
 
-    Worker put(long id, int zone, int cell, int kind, boolean ready, Moment bornAt) {
+    Worker put(long id, int zone, int cell, int kind, Choice.Listed as, Moment bornAt) {
         Worker w = byId.get(id);
         if (w == null) {
             w = new Worker(id);
@@ -48,11 +49,23 @@
         w.cell = cell;
         w.kind = kind;
         w.kin = kins.computeIfAbsent(kind, k -> new Kin());
-        w.ready = ready;
+        w.ready = as == Choice.Listed.READY;
+        w.drains = as == Choice.Listed.DRAINING || as == Choice.Listed.GONE && w.drains;
+        w.gone = as == Choice.Listed.GONE && !w.drains;
         w.bornAt = bornAt;
         return w;
     }
 
+    int ready() {
+        return sides.get(0).size() + sides.get(1).size();
+    }
+
+    /** It is up or not, whatever the last list said. */
+    void ready(Worker w, boolean ready) {
+        w.ready = ready;
+        end();
+    }
+
     void end() {
         sides.get(0).clear();
         sides.get(1).clear();
--- a/src/main/java/rampshift/decide/Task.java
+++ b/src/main/java/rampshift/decide/Task.java
@@ -28,6 +28,8 @@
     /** Decides whether candidates never heard from count as idle. */
     double luck;
     boolean asked;
+    /** The worker that it last erred at. */
+    Worker erredAt;
     int echoesDue;
     Moment probeUntil;
     boolean closed;
--- /dev/null
+++ b/src/main/java/rampshift/decide/Timers.java
@@ -0,0 +1,33 @@
+package rampshift.decide;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+import rampshift.time.Moment;
+
+/** Moments at which a task is looked at again, in their order and those alike in the order they were set. */
+final class Timers {
+    private record Timer(Moment at, long order, Task task) { }
+
+    private final PriorityQueue<Timer> waiting =
+            new PriorityQueue<>(Comparator.comparing(Timer::at).thenComparingLong(Timer::order));
+    private long order;
+
+    /** The task may be null: then it is only the host that is to wake up. */
+    void set(Moment at, Task task) {
+        waiting.add(new Timer(at, order++, task));
+    }
+
+    /** Whether one is due; then {@link #poll} gives its task. */
+    boolean due(Moment now) {
+        return !waiting.isEmpty() && !now.before(waiting.peek().at());
+    }
+
+    Task poll() {
+        return waiting.poll().task();
+    }
+
+    /** When the next one is due; null where none waits. */
+    Moment next() {
+        return waiting.isEmpty() ? null : waiting.peek().at();
+    }
+}
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -13,6 +13,10 @@
     int kind;
     Kin kin;
     boolean ready;
+    /** Listed as draining, and not as ready since. */
+    boolean drains;
+    /** Called gone by the last list that spoke of it, or left out of a whole one, without having drained. */
+    boolean gone;
     Moment bornAt = new Moment(0);
     /** Assignments still out there, those called off included until their end is heard. */
     final ArrayList<Assignment> out = new ArrayList<>();
--- a/src/main/java/rampshift/drill/Instance.java
+++ b/src/main/java/rampshift/drill/Instance.java
@@ -98,7 +98,8 @@
         for (Fields e : f.entries) {
             String state = e.text("Availability");
             choice.listed(e.whole("Worker"), e.index("Site"), e.index("Pod"), e.index("Machine"),
-                    state.equals("IN"), Moment.ofMillis(e.number("BornMs", 0)), e.number("Nominal", 0));
+                    state.equals("IN") ? Choice.Listed.READY
+                            : state.equals("LAME") ? Choice.Listed.DRAINING : Choice.Listed.GONE, Moment.ofMillis(e.number("BornMs", 0)), e.number("Nominal", 0));
         }
         choice.listEnds();
     }
--- a/src/main/java/rampshift/stages/Route.java
+++ b/src/main/java/rampshift/stages/Route.java
@@ -98,7 +98,7 @@
                 boolean ready = t.state() == Target.State.READY;
                 pool.listed(number, t.uid(), t.address(), t.bootMs(), ready);
                 choice.listed(number, index(platform.zones(), t.zone()), t.cell(),
-                        index(platform.kinds(), t.kind()), ready, Moment.ofMillis(t.bootMs()), t.weight());
+                        index(platform.kinds(), t.kind()), Choice.Listed.valueOf(t.state().name()), Moment.ofMillis(t.bootMs()), t.weight());
             }
             if (whole) {
                 pool.endWhole();
