Workers to which a connection is free stand in the draw

Change: up to three workers with a free connection are drawn besides the D, and a new connection's price counts in a candidate's value. The test of idleness decides as before. Their own reports are the freshest, too: it covers old knowledge at size. Harm: where kept ones are all slow they are still looked at. Without the price nothing changes.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -18,6 +18,7 @@
  */
 public final class Choice {
     private static final int D = 6;                     // drawn: half of the own zone, half from elsewhere
+    private static final int KEPT = 3;                  // more: those to which a connection is free
     private static final int ONCE_MORE = 3;             // times as many drawn where a task is placed once
     private static final int ASK = 2;                   // candidates tested at a time
     private static final int DRAWS = 3;                 // draws until one is left for a bounce
@@ -67,6 +68,7 @@
     private Moment now;
     private final Map<Long, Task> tasks = new HashMap<>();         // looked up, never walked
     private final Roster roster;
+    private final ArrayDeque<Worker> keeping = new ArrayDeque<>();  // a connection was free there lately
     private final ArrayDeque<Task> todo = new ArrayDeque<>();
     private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
     private final Timers timers = new Timers();
@@ -280,6 +282,11 @@
             w.fullAt = now;
             waited(a, meanWork().times(FULL_WAIT).millis());
         }
+        if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
+            w.freeSince.add(now);
+            keeping.remove(w);
+            keeping.add(w);
+        }
         if (w.zone != settings.zone && (outcome == Outcome.FINISHED || outcome == Outcome.NO_CONNECTION)) {
             // Two in a row elsewhere without a connection: the zone is cut off, not each of its workers sick.
             elsewhere.put(outcome == Outcome.FINISHED ? 0 : 1);
@@ -590,7 +597,8 @@
         Moment lost = w.lostAt.get(t.typeNumber);
         well *= lost == null ? 1 : 1 - Math.exp(-now.since(lost).over(meanWork().times(FADE)));
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
-        double cross = w.zone == settings.zone ? 0 : settings.crossingPrice * earningsAsked.mean(1);
+        double cross = (w.zone == settings.zone ? 0 : settings.crossingPrice) * earningsAsked.mean(1)
+                + (w.keeps(now, settings.connectionIdle) ? 0 : settings.handshakePrice) * earningsAsked.mean(1);
         // A task that queues delays all behind it, the more the longer it runs and the longer the queue.
         // Unreported, the last tasks tell of queues: by own slots alone wide ones were bounced while idle.
         double delay = wait.over(wait.plus(meanWork()));
@@ -797,6 +805,13 @@
     private void draw(Task t) {
         survey();
         t.luck = t.draws++ == 0 ? chance.next() : t.luck;
+        while (!keeping.isEmpty() && !keeping.peek().keeps(now, settings.connectionIdle)) {
+            keeping.poll();
+        }
+        if (settings.handshakePrice > 0) {
+            keeping.stream().filter(w -> w.ready && w.keeps(now, settings.connectionIdle) && eligible(t, w)
+                    && !t.drawn.contains(w)).limit(KEPT).forEach(t.drawn::add);
+        }
         for (ArrayList<Worker> side : roster.sides) {
             int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
             // What can't go on to another queue is placed once: more are looked at.
@@ -1031,6 +1046,7 @@
         }
         budget.sent(a);
         a.begin();
+        w.freeSince.pollLast();
         if (warmth(w) < 1) {
             coldCredit -= cost(t);
         }
--- a/src/main/java/rampshift/decide/Settings.java
+++ b/src/main/java/rampshift/decide/Settings.java
@@ -29,6 +29,9 @@
     public double excessEarnings = 1;
     public double crossingPrice;
     public double wastePrice;
+    public double handshakePrice;
+    /** A connection that has been idle for longer is closed. */
+    public Span connectionIdle = Span.ZERO;
     public Span askWithin = Span.ZERO;
     /** How long a worker may still be sent to after the list told that it drains or is gone. */
     public Span drainGrace = Span.ZERO;
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -1,9 +1,11 @@
 package rampshift.decide;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.Map;
 import rampshift.time.Moment;
+import rampshift.time.Span;
 
 /** What this dispatcher knows of one worker. */
 final class Worker {
@@ -45,6 +47,8 @@
     Moment trickleFrom;
     /** When it last left a task of a traffic type unbegun for good, if it has finished none since. */
     final Map<Integer, Moment> lostAt = new HashMap<>();
+    /** Since when each of the connections to it that are free has been so, the latest last. */
+    final ArrayDeque<Moment> freeSince = new ArrayDeque<>();
     /** Tasks that wait for its answer to a probe. */
     final ArrayList<Task> asking = new ArrayList<>();
 
@@ -89,6 +93,14 @@
         others.put(now, held);
     }
 
+    /** Whether a connection to it is free that was in use within that span. */
+    boolean keeps(Moment now, Span idle) {
+        while (!freeSince.isEmpty() && !idle.longerThan(now.since(freeSince.peek()))) {
+            freeSince.poll();
+        }
+        return !freeSince.isEmpty();
+    }
+
     boolean heard() {
         return reported || lastWord != null;
     }
--- a/src/main/java/rampshift/settings/SettingsReader.java
+++ b/src/main/java/rampshift/settings/SettingsReader.java
@@ -56,6 +56,8 @@
         s.excessEarnings = number(root, "ExcessEarnings", 1);
         s.crossingPrice = number(costs, "CrossZone", 0);
         s.wastePrice = number(costs, "Waste", 0);
+        s.handshakePrice = number(costs, "Handshake", 0);
+        s.connectionIdle = span(limits, "ConnIdleMs", 0);
         s.askWithin = span(rules, "AskWithinMs", 0);
         s.drainGrace = span(rules, "StopSendingWithinMs", 0);
         s.onlyDrainingBinds = strictFlag(rules, "Rules", "OnlyDrainingBinds");
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -469,6 +469,33 @@
         assertTrue(cold > 0 && cold <= ran * 0.106 + 1, cold + " for " + ran + " that ran");
     }
 
+    // ---- kept connections
+
+    private static int toTheSame(double price, double idleMs) {
+        Host host = new Host();
+        host.settings.handshakePrice = price;
+        host.settings.connectionIdle = Span.ofMillis(idleMs);
+        host.fleet(40);
+        for (int w = 1; w <= 40; w++) {
+            host.free(w, 4);
+        }
+        Set<Long> used = new HashSet<>();
+        for (int i = 0; i < 60; i++) {
+            long id = host.after(30).task(SIDE_EFFECTING);
+            used.add(host.worker(id, 0));
+            host.begun(id, 0).after(20).ended(id, 0, Outcome.FINISHED);
+        }
+        return used.size();
+    }
+
+    /** Met at a fleet of 60 with a task a second for each dispatcher: a new connection for nearly each of them. */
+    @Test
+    void amongIdleWorkersOneIsTakenToWhichAConnectionIsFree() {
+        assertTrue(toTheSame(0.03, 5000) <= 5);
+        assertTrue(toTheSame(0, 5000) > 15, "where new ones cost nothing all are drawn");
+        assertTrue(toTheSame(0.03, 25) > 15, "a connection idle for longer is closed");
+    }
+
     // ---- rule 6: only draining binds
 
     @ParameterizedTest
