Reports are believed by worker and zone; tasks are taken at a quarter's chance

That the reports were not so, and not the workers sick, is shown by the answer full to an assignment that the report had promised an idle slot. reportsHeld was one figure for all workers, and full did not count in it at all. Change: trust by the worker's and its zone's last assignments; what is not believed is left unread, and the worker idle with the odds of the others. It replaces the figure for all. Change: a task is taken at a chance of 0.25 to be in time, and by the tail's weight more where misses cost beyond their own.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -27,7 +27,7 @@
     private static final double QUEUE_PRICE = 0.1;      // extra sends: a place in a queue nobody reports
     private static final double MOST_SAVED = 10;        // extra sends that may be saved up
     private static final double RESCUE_RESERVE = 2;     // extra sends that copies leave to rescues
-    private static final double TAKE_AT = 0.5;          // how likely in time a task must be to be taken
+    private static final double TAKE_AT = 0.25;         // how likely in time, and the more the tail counts
     private static final double RUN_SPREAD = 0.2;       // how far a prediction is off, in running times
     private static final double WAIT_SPREAD = 0.5;      // and in predicted waits
     private static final double GOOD = 0.5;             // of the earnings: an idle candidate that will do
@@ -74,7 +74,7 @@
     private final Timers timers = new Timers();
     private Moment armed;
     private final Samples[] work;                                  // running times by traffic type
-    private final Samples[] tenants;                               // times of the last arrivals
+    private final Tenants tenants;
     private final Samples anyWork = new Samples(64);
     private final Samples[] fleetLoad = Samples.rows(2, 64);       // of room, own side and elsewhere
     private final Samples earningsAsked = new Samples(64);
@@ -85,8 +85,7 @@
     private Moment cutUntil;
     private Moment surveyAt;
     private boolean distrust;
-    private boolean blind;                     // this task is placed without the reports: they did not hold
-    private final Samples reportsHeld = new Samples(8);
+    private double luck;                // of the task being placed: what is trusted less is not read
     private final Aged again = new Aged(16);        // 1: a task that erred did so at the next worker too
     private final Aged begins = new Aged(32);       // from the first send of a task to its start
     private double coldPart;            // what cold workers can do, of the whole fleet when warm
@@ -108,7 +107,7 @@
         budget = new Budget(settings);
         roster = new Roster(settings.zone);
         work = Samples.rows(settings.types.size(), 32);
-        tenants = Samples.rows(settings.tenantQuotas.size(), 32);
+        tenants = new Tenants(settings);
         if (settings.listOnRequest) {
             subscribeAt = now;
             timers.set(now, null);
@@ -164,10 +163,7 @@
         Task t = new Task(id, row, type, Math.max(width, 1), memory, first, expiry);
         tasks.put(id, t);
         budget.taken(now);
-        if (tenant < tenants.length) {
-            tenants[tenant].put(now.millis());
-            t.excess = excess(tenant);
-        }
+        t.excess = tenants.arrived(tenant, now);
         // Late by the time left: a retry, or a client of little patience. Where far more come so than were
         // turned away they are no retries; bounced as hopeless, two thirds of the tasks were lost.
         t.late = allowed(t).micros() < 0;
@@ -212,10 +208,21 @@
     private void believe(Assignment a, boolean soon) {
         if (a.saidIdle) {
             a.saidIdle = false;
-            reportsHeld.put(soon ? 1 : 0);
+            a.worker.reportsHeld.put(now, soon ? 1 : 0);
+            roster.reportsHeld(a.worker.zone).put(now, soon ? 1 : 0);
         }
     }
 
+    /**
+     * How likely a worker's reports are to hold, by the assignments that they promised an idle slot, and by
+     * its zone's. Covers late, low, stuck and zero ones, and rushes to the same worker; fades as they agree
+     * again. Harm: one that others rush to is looked at less, as if it lied.
+     */
+    private double trust(Worker w) {
+        Span fade = meanWork().times(FADE);
+        return w.reportsHeld.mean(now, fade, roster.reportsHeld(w.zone).mean(now, fade, 1, OLD_SAY), KIN_SAY);
+    }
+
     public void progressed(long id, int number, double share) {
         Assignment a = assignment(id, number);
         if (a != null) {
@@ -280,13 +287,9 @@
         }
         if (outcome == Outcome.FULL) {
             w.fullAt = now;
+            believe(a, false);
             waited(a, meanWork().times(FULL_WAIT).millis());
         }
-        if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
-            w.freeSince.add(now);
-            keeping.remove(w);
-            keeping.add(w);
-        }
         if (w.zone != settings.zone && (outcome == Outcome.FINISHED || outcome == Outcome.NO_CONNECTION)) {
             // Two in a row elsewhere without a connection: the zone is cut off, not each of its workers sick.
             elsewhere.put(outcome == Outcome.FINISHED ? 0 : 1);
@@ -304,6 +307,9 @@
         }
         if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
             word(w);
+            w.freeSince.add(now);
+            keeping.remove(w);
+            keeping.add(w);
         }
         if (terminal) {
             turnedAway.put(0);
@@ -441,27 +447,6 @@
         return Span.ofMillis(work[t.typeNumber].mean(t.type.due().millis()));
     }
 
-    /** The part of a tenant's tasks that lies beyond its share, by its part of the tasks here. */
-    private double excess(int tenant) {
-        if (tenant >= tenants.length || tenants[tenant].count() < 8) {
-            return 0;
-        }
-        // Their parts of what comes here tell, not the rate: a few of many dispatchers carry most traffic.
-        double here = 0, quotas = 0;
-        for (int i = 0; i < tenants.length; i++) {
-            quotas += settings.tenantQuotas.get(i);
-            here += rate(i);
-        }
-        // No quota for anybody: there is no share to go beyond, and nothing to divide by.
-        double over = quotas <= 0 ? 0 : 1 - settings.tenantQuotas.get(tenant) / quotas * here / rate(tenant);
-        return Math.max(0, over) * (1 - settings.excessEarnings);
-    }
-
-    private double rate(int tenant) {
-        Samples times = tenants[tenant];
-        return times.count() == 0 ? 0 : times.count() / Math.max(1, now.millis() - times.oldest());
-    }
-
     private double warmth(Worker w) {
         Span age = now.since(w.bornAt);
         if (w.bornAt.micros() <= 0 || !settings.coldFor.longerThan(age)) {
@@ -514,7 +499,8 @@
         Span fade = meanWork().times(AGES);
         double weight = 0.1;
         double sum = weight * fleetLoad[w.zone == settings.zone ? 0 : 1].mean(0) * room(w);
-        for (int i = 0; i < w.others.count() && !blind; i++) {
+        int read = luck <= trust(w) ? w.others.count() : 0;
+        for (int i = 0; i < read; i++) {
             double say = OLD_SAY + w.others.say(i, now, fade);
             weight += say;
             sum += say * w.others.get(i);
@@ -547,17 +533,22 @@
         return wait;
     }
 
-    /** Never heard from: idle with the odds of the other candidates, so that new workers draw no herd. */
+    /** Not heard from, or not believed: idle with the odds of the others, so that it draws no herd. */
     private boolean idle(Worker w, Task t) {
-        if (w.heard()) {
+        if (believed(w)) {
             return heardIdle(w, t);
         }
         int heard = 0, idle = 0;
         for (Worker o : t.drawn) {
-            heard += o.heard() ? 1 : 0;
-            idle += o.heard() && heardIdle(o, t) ? 1 : 0;
+            heard += believed(o) ? 1 : 0;
+            idle += believed(o) && heardIdle(o, t) ? 1 : 0;
         }
-        return !w.probeSilent && w.out.isEmpty() && t.luck * heard <= idle;
+        boolean room = w.out.isEmpty() || w.heard() && w.ownWidth() + t.width <= room(w);
+        return !w.probeSilent && room && t.luck * heard <= idle;
+    }
+
+    private boolean believed(Worker w) {
+        return w.heard() && luck <= trust(w);
     }
 
     private boolean heardIdle(Worker w, Task t) {
@@ -597,8 +588,8 @@
         Moment lost = w.lostAt.get(t.typeNumber);
         well *= lost == null ? 1 : 1 - Math.exp(-now.since(lost).over(meanWork().times(FADE)));
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
-        double cross = (w.zone == settings.zone ? 0 : settings.crossingPrice) * earningsAsked.mean(1)
-                + (w.keeps(now, settings.connectionIdle) ? 0 : settings.handshakePrice) * earningsAsked.mean(1);
+        double cross = earningsAsked.mean(1) * ((w.zone == settings.zone ? 0 : settings.crossingPrice)
+                + (w.keeps(now, settings.connectionIdle) ? 0 : settings.handshakePrice));
         // A task that queues delays all behind it, the more the longer it runs and the longer the queue.
         // Unreported, the last tasks tell of queues: by own slots alone wide ones were bounced while idle.
         double delay = wait.over(wait.plus(meanWork()));
@@ -695,7 +686,7 @@
         }
         t.drawn.forEach(w -> w.probeSilent |= w.asking.remove(t));   // silence in the short wait means busy
         t.echoesDue = 0;
-        blind = t.luck > reportsHeld.mean(1);
+        luck = t.luck;
         Worker best = null;
         double most = 0;
         for (Worker w : t.drawn.subList(0, t.tested)) {
@@ -715,7 +706,8 @@
         if (!settings.reportsLoad && mayCopy(t) && most > earnings(t)) {
             best = bySize(t);
         }
-        if (best == null || mayBounce(t) && (most <= 0 || begunInTime(t, best) < TAKE_AT)) {
+        double least = TAKE_AT + settings.tailWeight;
+        if (best == null || mayBounce(t) && (most <= 0 || begunInTime(t, best) < least)) {
             // In a large fleet a few busy candidates tell little: draw again before bouncing.
             t.asked = t.draws >= DRAWS;
             if (t.asked && best == null) {
@@ -884,7 +876,7 @@
         int from = t.tested;
         // Live weights of the list tell as much, and cost nothing.
         // So does a send, where the task may go on to the next and no report would come with the answer.
-        boolean probes = settings.mayProbe && !settings.liveWeights && t.luck <= reportsHeld.mean(1)
+        boolean probes = settings.mayProbe && !settings.liveWeights
                 && (settings.reportsLoad || !mayCopy(t));
         t.tested = probes ? Math.min(from + ASK, t.drawn.size()) : t.drawn.size();
         if (!probes) {
@@ -896,7 +888,7 @@
             boolean pending = w.probedAt != null && now.since(w.probedAt).micros() < wait.micros()
                     && !w.asking.isEmpty();
             boolean stale = w.lastWord == null || now.since(w.lastWord).longerThan(fresh);
-            if (pending || stale) {
+            if ((pending || stale) && t.luck <= trust(w)) {
                 if (!pending) {
                     t.toProbe.add(w);
                 }
--- a/src/main/java/rampshift/decide/Worker.java
+++ b/src/main/java/rampshift/decide/Worker.java
@@ -30,6 +30,8 @@
     /** Slots that other dispatchers held, by the last reports. */
     final Aged others = new Aged(8);
     Moment othersAt;
+    /** 1 for each of the last assignments that its reports promised an idle slot, and that had one. */
+    final Aged reportsHeld = new Aged(4);
     final Samples room = new Samples(12);
     /** From send to start of the last assignments, in milliseconds. */
     final Aged starts = new Aged(8);
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -496,6 +496,40 @@
         assertTrue(toTheSame(0.03, 25) > 15, "a connection idle for longer is closed");
     }
 
+    // ---- reports that are not so
+
+    /** Met where 28 of 112 workers told of idle slots and had none: 28% of the sends, two thirds turned away as full. */
+    @Test
+    void aWorkerWhoseReportsDoNotHoldIsNotLookedForAgain() {
+        Host host = new Host();
+        host.fleet(12);
+        int there = 0;
+        for (int i = 0; i < 60; i++) {
+            for (int w = 1; w <= 12; w++) {
+                host.free(w, w <= 3 ? 4 : w == 4 ? 1 : 0);
+            }
+            long id = host.after(60).task(SIDE_EFFECTING);
+            boolean false3 = host.worker(id, 0) <= 3;
+            there += false3 && i >= 20 ? 1 : 0;
+            int last = 0;
+            while (host.worker(id, last) > 0 && host.worker(id, last) <= 3) {
+                host.ended(id, last++, Outcome.FULL);
+            }
+            host.begun(id, last).after(50).ended(id, last, Outcome.FINISHED);
+        }
+        assertTrue(there <= 25, "most go there by their reports: " + there + " of 40");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"0,0", "0.2,1"})
+    void whereTheTailCountsWhatIsLikelyLateIsBounced(double tail, int bounces) {
+        Host host = new Host();
+        host.settings.tailWeight = tail;
+        host.fleet(1).train(SIDE_EFFECTING, 40, 100);
+        host.task(SIDE_EFFECTING, 0, 5000 - 312);     // 88 ms are left for a run of 100
+        assertEquals(bounces, host.count("bounce"), "about a third in time");
+    }
+
     // ---- rule 6: only draining binds
 
     @ParameterizedTest
