What earns less than the room it takes is bounced where room is short

The delay price in value() counts waits, and there are none where a queue holds one task a core: room is what is short. Ruled out: the budget (further ones 1 in 14), cold workers (worst before they came). Change: the part of the last sends that was turned away, times the mean earnings, times the work, is the price of a task's room; where bouncing is lawful, what earns less is bounced at once. Covers overload of any cause where workers turn away; harm: a type of little earnings for its work is served least, until room is there again (it fades in four mean runs).

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -94,6 +94,7 @@
     private final Aged accepted = new Aged(32);     // 0: never ran, turned away as a rule
     private double extraSends = 1;
     private final Budget budget;
+    private final double takeAt;
     private final double copyPrice;     // a copy that runs is waste, a second place in a queue is not
     private Moment subscribeAt;
     private Moment holdFrom;            // what the list service has may bind from then on: a list is awaited
@@ -102,6 +103,7 @@
     public Choice(Settings settings, Moment now) {
         this.settings = settings;
         this.now = now;
+        takeAt = TAKE_AT + settings.tailWeight;
         copyPrice = Math.max(1, settings.wastePrice / CHEAP_WASTE);
         chance = new Chance(settings.seed);
         budget = new Budget(settings);
@@ -282,8 +284,8 @@
         }
         if (outcome == Outcome.NOT_SENT) {
             budget.neverSent(a);
-        } else if (outcome != Outcome.CALLED_OFF) {
-            accepted.put(now, outcome.neverRan ? 0 : 1);
+        } else if (outcome != Outcome.CALLED_OFF && outcome != Outcome.NO_CONNECTION) {
+            accepted.put(now, outcome == Outcome.FULL ? 0 : 1);
         }
         if (outcome == Outcome.FULL) {
             w.fullAt = now;
@@ -666,6 +668,9 @@
     }
 
     private boolean place(Task t, Decisions out) {
+        if (mayBounce(t) && full() * earningsAsked.mean(0) * cost(t) > earnings(t)) {
+            return giveUp(t, out);      // the room it takes earns more, where that is short
+        }
         if (!t.asked) {
             t.asked = true;
             if (t.tested == t.drawn.size()) {
@@ -706,8 +711,7 @@
         if (!settings.reportsLoad && mayCopy(t) && most > earnings(t)) {
             best = bySize(t);
         }
-        double least = TAKE_AT + settings.tailWeight;
-        if (best == null || mayBounce(t) && (most <= 0 || begunInTime(t, best) < least)) {
+        if (best == null || mayBounce(t) && (most <= 0 || begunInTime(t, best) < takeAt)) {
             // In a large fleet a few busy candidates tell little: draw again before bouncing.
             t.asked = t.draws >= DRAWS;
             if (t.asked && best == null) {
@@ -766,11 +770,8 @@
     }
 
     private boolean copyPays(Task t, Worker w) {
-        if (!mayCopy(t) || w.zone != settings.zone && settings.crossingPrice > 0.1) {
-            return false;
-        }
-        return w.trickle > 0 && w.out.isEmpty()
-                || idle(w, t) && value(t, w) >= GOOD * earnings(t);
+        return mayCopy(t) && (w.zone == settings.zone || settings.crossingPrice <= 0.1)
+                && (w.trickle > 0 && w.out.isEmpty() || idle(w, t) && value(t, w) >= GOOD * earnings(t));
     }
 
     /** How long an assignment may be out before a start note is missed: it queues, or is lost. */
@@ -797,12 +798,10 @@
     private void draw(Task t) {
         survey();
         t.luck = t.draws++ == 0 ? chance.next() : t.luck;
-        while (!keeping.isEmpty() && !keeping.peek().keeps(now, settings.connectionIdle)) {
-            keeping.poll();
-        }
+        keeping.removeIf(w -> !w.keeps(now, settings.connectionIdle));
         if (settings.handshakePrice > 0) {
-            keeping.stream().filter(w -> w.ready && w.keeps(now, settings.connectionIdle) && eligible(t, w)
-                    && !t.drawn.contains(w)).limit(KEPT).forEach(t.drawn::add);
+            keeping.stream().filter(w -> w.ready && eligible(t, w) && !t.drawn.contains(w))
+                    .limit(KEPT).forEach(t.drawn::add);
         }
         for (ArrayList<Worker> side : roster.sides) {
             int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
@@ -810,7 +809,7 @@
             most *= !settings.reportsLoad && !mayCopy(t) ? ONCE_MORE : 1;
             // The credit bounds what cold ones get over time, the odds a rush of all to one that has room.
             coldOdds = COLD_RUSH * settings.tipMultiple * side.size() / (most * (double) roster.ready())
-                    * accepted.mean(now, meanWork().times(KIN_AGES), 1, OLD_SAY);
+                    * (1 - full());
             int found = 0;
             for (int i = 0; i < side.size() && found < most; i++) {
                 int j = i + (int) (chance.next() * (side.size() - i));
@@ -876,8 +875,7 @@
         int from = t.tested;
         // Live weights of the list tell as much, and cost nothing.
         // So does a send, where the task may go on to the next and no report would come with the answer.
-        boolean probes = settings.mayProbe && !settings.liveWeights
-                && (settings.reportsLoad || !mayCopy(t));
+        boolean probes = settings.mayProbe && !settings.liveWeights && (settings.reportsLoad || !mayCopy(t));
         t.tested = probes ? Math.min(from + ASK, t.drawn.size()) : t.drawn.size();
         if (!probes) {
             return;
@@ -1022,6 +1020,11 @@
         coldCredit = Math.min(1, coldCredit + COLD_SHARE * settings.tipMultiple * coldPart * cost);
     }
 
+    /** The part of what was sent lately that was turned away: how short room is. */
+    private double full() {
+        return 1 - accepted.mean(now, meanWork().times(KIN_AGES), 1, OLD_SAY);
+    }
+
     /** In mean runs. */
     private double cost(Task t) {
         return work(t).over(meanWork()) * t.width;
--- a/src/test/java/rampshift/decide/ChoiceTest.java
+++ b/src/test/java/rampshift/decide/ChoiceTest.java
@@ -530,6 +530,30 @@
         assertEquals(bounces, host.count("bounce"), "about a third in time");
     }
 
+    // ---- where room is short
+
+    /** Met in a fleet that had shrunk: 64% of the sends turned away, all types served alike, the dearest at 76%. */
+    @ParameterizedTest
+    @CsvSource({"0,0", "10,0", "10,1"})
+    void whatEarnsLessThanTheRoomThatItTakesIsBouncedWhereRoomIsShort(int full, int dear) {
+        Host host = new Host();
+        host.settings.types.add(new TrafficType(8, 0, Span.ofMillis(100), 3, Span.ofMillis(5000),
+                TrafficType.Effect.SIDE_EFFECTING, TrafficType.Group.ALL, Span.ofMillis(1000), -1));
+        host.fleet(6).train(4, 30, 50).train(SIDE_EFFECTING, 30, 50);
+        for (int i = 0; i < full; i++) {
+            long id = host.task(4);
+            for (int n = 0; host.worker(id, n) > 0; n++) {
+                host.ended(id, n, Outcome.FULL);
+            }
+        }
+        host.said.clear();
+        long id = host.task(dear == 1 ? 4 : SIDE_EFFECTING);
+        assertEquals(full > 0 && dear == 0 ? 1 : 0, host.count("bounce " + id + " "));
+        host.after(3000);
+        long later = host.task(SIDE_EFFECTING);
+        assertTrue(host.worker(later, 0) > 0, "it fades");
+    }
+
     // ---- rule 6: only draining binds
 
     @ParameterizedTest
