A way between zones that loses counts against crossing it

Change: Zone keeps of the last assignments which were heard of again; a candidate elsewhere is worth less by how far its zone's share is under the own zone's. Waits count alike on both sides, so congestion alone changes nothing. Covers cuts and losses of any size between zones; harm: a zone of bad workers is shunned as a whole for 16 mean runs. Open: no story shows it alone; on our own stand-ins the time-outs set the workers aside first, so that a story passed without the change too and was left out.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -183,6 +183,7 @@
             a.begunAt = now;
             word(a.worker);
             believe(a, true);
+            roster.zone(a.worker.zone).reached.put(now, 1);
             if (!settings.reportsLoad) {
                 startTells(a);
             }
@@ -211,7 +212,7 @@
         if (a.saidIdle) {
             a.saidIdle = false;
             a.worker.reportsHeld.put(now, soon ? 1 : 0);
-            roster.reportsHeld(a.worker.zone).put(now, soon ? 1 : 0);
+            roster.zone(a.worker.zone).reportsHeld.put(now, soon ? 1 : 0);
         }
     }
 
@@ -222,7 +223,8 @@
      */
     private double trust(Worker w) {
         Span fade = meanWork().times(FADE);
-        return w.reportsHeld.mean(now, fade, roster.reportsHeld(w.zone).mean(now, fade, 1, OLD_SAY), KIN_SAY);
+        double zone = roster.zone(w.zone).reportsHeld.mean(now, fade, 1, OLD_SAY);
+        return w.reportsHeld.mean(now, fade, zone, KIN_SAY);
     }
 
     public void progressed(long id, int number, double share) {
@@ -561,7 +563,7 @@
             return !w.probeSilent && w.out.isEmpty() && (w.fullAt == null || w.fullAt.before(w.lastWord));
         }
         return !w.probeSilent && w.ownWidth() + t.width <= room(w) + 0.25
-                && !wait(w, t.width).longerThan(patience(t.type).orLonger(settings.tick.times(2)));
+                && !wait(w, t.width).longerThan(t.type.due().times(START_BY).plus(settings.tick));
     }
 
     private Span allowed(Task t) {
@@ -581,6 +583,11 @@
         return 1 / (1 + Math.exp(-allowed(t).minus(wait).minus(run).over(blur)));
     }
 
+    /** A way that loses is between the zones: nobody there is to blame, and where all wait it is no loss. */
+    private double reached(int zone) {
+        return roster.zone(zone).reached.mean(now, meanWork().times(FADE), 1, OLD_SAY);
+    }
+
     /** The earnings to be expected from sending the task there now, less the price of crossing. */
     private double value(Task t, Worker w) {
         double inTime = inTime(t, w);
@@ -588,6 +595,8 @@
         Span end = wait.plus(run(w, t));
         double well = 1 - w.bad.sum() / (w.bad.count() + 2);
         Moment lost = w.lostAt.get(t.typeNumber);
+
+        well *= Math.min(1, reached(w.zone) / reached(settings.zone));
         well *= lost == null ? 1 : 1 - Math.exp(-now.since(lost).over(meanWork().times(FADE)));
         double late = t.expiry.since(now).longerThan(end) ? t.type.lateEarnings() : 0;
         double cross = earningsAsked.mean(1) * ((w.zone == settings.zone ? 0 : settings.crossingPrice)
@@ -712,8 +721,7 @@
             best = bySize(t);
         }
         if (best == null || mayBounce(t) && (most <= 0 || begunInTime(t, best) < takeAt)) {
-            // In a large fleet a few busy candidates tell little: draw again before bouncing.
-            t.asked = t.draws >= DRAWS;
+            t.asked = t.draws >= DRAWS;     // in a large fleet a few busy candidates tell little
             if (t.asked && best == null) {
                 earnColdCredit(cost(t));      // in a fleet that is cold as a whole nothing was ever sent
             }
@@ -776,11 +784,7 @@
 
     /** How long an assignment may be out before a start note is missed: it queues, or is lost. */
     private Span patience(Assignment a) {
-        return settings.tellsStart ? patience(a.task.type) : a.predicted.times(OVERDUE);
-    }
-
-    private Span patience(TrafficType type) {
-        return type.due().times(START_BY);
+        return settings.tellsStart ? a.task.type.due().times(START_BY) : a.predicted.times(OVERDUE);
     }
 
     private boolean mayCopy(Task t) {
@@ -826,7 +830,7 @@
 
     private boolean eligible(Task t, Worker w) {
         return (t.type.kind() < 0 || t.type.kind() == w.kind) && (distrust || trusted(w, t)) && licence(t, w)
-                && (warmth(w) >= 1 || coldRoom(w) && chance.next() < coldOdds * warmth(w));
+                && (warmth(w) >= 1 || coldCredit > 0 && chance.next() < coldOdds * warmth(w));
     }
 
     private boolean trusted(Worker w, Task t) {
@@ -913,6 +917,7 @@
                         && now.since(told).longerThan(settings.progressEvery.times(1.5))) {
                     // No answer will come: such counted as slow runs and full workers, and half was bounced.
                     a.lost = true;
+                    roster.zone(a.worker.zone).reached.put(now, 0);
                     if (a.begunAt == null && !silent(a.worker)) {
                         a.worker.lostAt.put(a.task.typeNumber, now);
                     }
@@ -965,8 +970,8 @@
     private boolean mayAssign(Task t, Worker w) {
         return !t.closed && w.ready && t.sent.size() < settings.mostAssignments
                 && now.before(t.expiry.minus(settings.tick.times(2)))
-                && (t.open == 0 || settings.secondCopies) && licence(t, w) && coldRoom(w)
-                && (t.sent.isEmpty() || mayGoAgain(t));
+                && (t.open == 0 || settings.secondCopies) && (warmth(w) >= 1 || coldCredit > 0)
+                && licence(t, w) && (t.sent.isEmpty() || mayGoAgain(t));
     }
 
     /**
@@ -1012,10 +1017,6 @@
      * however unlike their traffic, that adds up to this share of what cold ones can do: what never ran earns
      * nothing, or where a fleet turns half away as full cold ones would be sent twice what was reckoned.
      */
-    private boolean coldRoom(Worker w) {
-        return warmth(w) >= 1 || coldCredit > 0;
-    }
-
     private void earnColdCredit(double cost) {
         coldCredit = Math.min(1, coldCredit + COLD_SHARE * settings.tipMultiple * coldPart * cost);
     }
--- a/src/main/java/rampshift/decide/Roster.java
+++ b/src/main/java/rampshift/decide/Roster.java
@@ -14,7 +14,7 @@
     final List<ArrayList<Worker>> sides = List.of(new ArrayList<>(), new ArrayList<>());
     private final Map<Long, Worker> byId = new HashMap<>();   // looked up, never walked
     private final Map<Integer, Kin> kins = new HashMap<>();   // looked up, never walked
-    private final Map<Integer, Aged> reportsHeld = new HashMap<>();   // looked up, never walked
+    private final Map<Integer, Zone> zones = new HashMap<>();   // looked up, never walked
     private final int ownZone;
 
     Roster(int ownZone) {
@@ -57,9 +57,8 @@
         return w;
     }
 
-    /** Of a zone's last assignments that were promised an idle slot: 1 for each that had one. */
-    Aged reportsHeld(int zone) {
-        return reportsHeld.computeIfAbsent(zone, z -> new Aged(16));
+    Zone zone(int number) {
+        return zones.computeIfAbsent(number, n -> new Zone());
     }
 
     int ready() {
