Free connections are kept up in one place; nothing out is looked at while a list is awaited

Cause: a read of the whole change. Choice walked all workers with a free connection for each draw, also where connections have no price; a task that was out while a list was awaited was looked at every tick and entered into held each time. Change: Kept, which drops from its old end only and is kept up only where new connections have a price; no timer for what is out (the list and the expiry wake it). The fleet test and the sockets were not played again after this commit.

--- a/src/main/java/rampshift/decide/Choice.java
+++ b/src/main/java/rampshift/decide/Choice.java
@@ -68,7 +68,7 @@
     private Moment now;
     private final Map<Long, Task> tasks = new HashMap<>();         // looked up, never walked
     private final Roster roster;
-    private final ArrayDeque<Worker> keeping = new ArrayDeque<>();  // a connection was free there lately
+    private final Kept kept;
     private final ArrayDeque<Task> todo = new ArrayDeque<>();
     private final ArrayDeque<Assignment> toCancel = new ArrayDeque<>();
     private final Timers timers = new Timers();
@@ -91,7 +91,7 @@
     private double coldPart;            // what cold workers can do, of the whole fleet when warm
     private double coldCredit;          // mean runs that may go to cold workers
     private double coldOdds;            // in this draw, times their warmth
-    private final Aged accepted = new Aged(32);     // 0: never ran, turned away as a rule
+    private final Aged accepted = new Aged(32);     // 0: turned away as full
     private double extraSends = 1;
     private final Budget budget;
     private final double takeAt;
@@ -107,6 +107,7 @@
         copyPrice = Math.max(1, settings.wastePrice / CHEAP_WASTE);
         chance = new Chance(settings.seed);
         budget = new Budget(settings);
+        kept = new Kept(settings);
         roster = new Roster(settings.zone);
         work = Samples.rows(settings.types.size(), 32);
         tenants = new Tenants(settings);
@@ -311,9 +312,7 @@
         }
         if (outcome == Outcome.FINISHED || outcome == Outcome.ERRED || outcome == Outcome.FULL) {
             word(w);
-            w.freeSince.add(now);
-            keeping.remove(w);
-            keeping.add(w);
+            kept.freed(w, now);
         }
         if (terminal) {
             turnedAway.put(0);
@@ -660,7 +659,9 @@
                 return giveUp(t, out);
             }
             held.add(t);
-            timers.set(now.plus(left.orLonger(settings.tick)), t);
+            if (t.open == 0) {      // what is out waits for the list alone: it was looked at every tick
+                timers.set(now.plus(left), t);
+            }
             return false;
         }
         if (t.open == 0 && t.erredAt != null && errsAgain() > 0.5) {
@@ -802,11 +803,8 @@
     private void draw(Task t) {
         survey();
         t.luck = t.draws++ == 0 ? chance.next() : t.luck;
-        keeping.removeIf(w -> !w.keeps(now, settings.connectionIdle));
-        if (settings.handshakePrice > 0) {
-            keeping.stream().filter(w -> w.ready && eligible(t, w) && !t.drawn.contains(w))
-                    .limit(KEPT).forEach(t.drawn::add);
-        }
+        kept.free(now).filter(w -> w.ready && eligible(t, w) && !t.drawn.contains(w))
+                .limit(KEPT).forEach(t.drawn::add);
         for (ArrayList<Worker> side : roster.sides) {
             int most = roster.sides.get(0).isEmpty() || roster.sides.get(1).isEmpty() ? D : D / 2;
             // What can't go on to another queue is placed once: more are looked at.
