--- a/src/main/java/rampshift/FleetJar.java
+++ b/src/main/java/rampshift/FleetJar.java
@@ -45,7 +45,9 @@
             }
             throw new IOException(e.getCause());
         } catch (ReflectiveOperationException | URISyntaxException e) {
-            throw new IOException("the fleet's jar is of another version: " + e);
+            err.println("rampshift " + args[0] + ": " + JAR + " does not fit this program (" + e.getMessage()
+                    + "); build both anew");
+            return 2;
         }
     }
 }
