What the list service has written is read before a first byte; silence ends within the grace

At fault: Watch asked again only after the held tasks (thread.execute), and Assignment.mayWrite went by the list as last read, whatever lay in the socket. Ruled out: a broken or silent watch (no list-watch line), news missing from a first list (rev=10 named its drains), a late first list (all whole, 0.25 s after started), connections that came up later (mayWrite looks at the place). A second hole, by reading and now by a story: an agent silent with a call open was asked again after up to 1.5 s and 0.1 s. Change: Watch.look reads the socket in place, at most once in a tenth of the grace, before each first byte and before a call counts as unanswered; the next call goes out before what waited; a list binds the pool at once, the module in its turn; calls wait 0.4, are late after 0.3 and repeated after 0.2 of the grace. Measured: WatchTest, PoolTest and ServeTest fail without each part (7 of 8 tasks went to the drained worker).

--- a/src/main/java/rampshift/connections/Connection.java
+++ b/src/main/java/rampshift/connections/Connection.java
@@ -124,11 +124,23 @@
         writable();
     }
 
+    /**
+     * Reads what has come of an answer now, instead of when the thread finds the time. May be called while another
+     * connection is being read: it has a buffer of its own.
+     */
+    public void look() {
+        if (heard != null && written) {
+            readable(dialer.lookBuffer, new byte[dialer.lookBuffer.capacity()]);
+        }
+    }
+
     private void readable() {
-        byte[] bytes = dialer.bytes;
+        readable(dialer.buffer, dialer.bytes);
+    }
+
+    private void readable(ByteBuffer buffer, byte[] bytes) {
         try {
             while (!closed) {
-                ByteBuffer buffer = dialer.buffer;
                 buffer.clear();
                 int count = channel.getSourceChannel().read(buffer);
                 if (count == 0) {
--- a/src/main/java/rampshift/connections/Dialer.java
+++ b/src/main/java/rampshift/connections/Dialer.java
@@ -17,12 +17,14 @@
 /** Opens connections on the I/O thread. All of them read through its one buffer. */
 public final class Dialer {
     private static final int BUFFER = 16 * 1024;
+    private static final int LOOK_BUFFER = 4 * 1024;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
 
     final XnioIoThread thread;
     private final Opener opener;
     final ByteBuffer buffer = ByteBuffer.allocateDirect(BUFFER);
     final byte[] bytes = new byte[BUFFER];
+    final ByteBuffer lookBuffer = ByteBuffer.allocateDirect(LOOK_BUFFER);
     int open;
 
     /** Opens a channel to an address, and hands it to the listener on the I/O thread. */
--- a/src/main/java/rampshift/discovery/Watch.java
+++ b/src/main/java/rampshift/discovery/Watch.java
@@ -15,6 +15,8 @@
 import rampshift.counters.Counters;
 import rampshift.log.Log;
 import rampshift.settings.Malformed;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /**
@@ -23,8 +25,17 @@
  */
 public final class Watch {
     /** How long a call may wait for changes. With 20 s a watch that fell silent was noticed after 21. */
-    private static final long WAIT_MS = 1000;
-    private static final Span LATE = Span.ofMillis(500);     // beyond that wait: discovery is silent
+    private static final Span WAIT = Span.ofMillis(1000);
+    private static final Span FIRST = Span.ofMillis(500);    // until a connection or a first list has to be there
+    /**
+     * Of the grace on drains: how long a call may wait, how late its answer may be, and the pause after a break. An agent
+     * that was silent while a call was open and is back with news is heard within nine tenths of the grace.
+     */
+    private static final double WAIT_SHARE = 0.4;
+    private static final double LATE_SHARE = 0.3;
+    private static final double AGAIN_SHARE = 0.2;
+    private static final double LOOK_SHARE = 0.1;            // of the grace, that what came may lie unread
+    private static final Span LEAST = Span.ofMillis(10);
     private static final Span AGAIN = Span.ofMillis(100);    // after a break; 200 ms keep the watch going
     private static final int LONGEST = 1 << 20;
     /** Tries in a row that failed before it is told: one may have lost its answer to a busy start. */
@@ -32,6 +43,11 @@
 
     private final XnioIoThread thread;
     private final Dialer dialer;
+    private final Clock clock;
+    private final Span wait;
+    private final Span late;
+    private final Span again;
+    private final Span lookEvery;
     private InetSocketAddress address;
     private final Counters counters;
     private final Consumer<Listing> told;
@@ -39,17 +55,29 @@
     private Connection connection;
     private Dialer.Dial dial;
     private XnioExecutor.Key timer;
+    private Answer answer;
     private long version = -1;
     private boolean calling;
     private boolean broken;
     private int failures;
+    private Moment lookedAt;
     private boolean stopped;
 
-    /** Lists go to {@code told}; that none is to be had, once an outage, to {@code failed}. */
-    public Watch(XnioIoThread thread, Dialer dialer, InetSocketAddress address, Counters counters,
-            Consumer<Listing> told, Runnable failed) {
+    /**
+     * Lists go to {@code told}; that none is to be had, once an outage, to {@code failed}. Grace: on drains; ZERO where
+     * none is stated.
+     */
+    public Watch(XnioIoThread thread, Dialer dialer, Clock clock, InetSocketAddress address, Span grace,
+            Counters counters, Consumer<Listing> told, Runnable failed) {
         this.thread = thread;
         this.dialer = dialer;
+        this.clock = clock;
+        boolean stated = grace.micros() > 0;
+        wait = stated ? grace.times(WAIT_SHARE).orLonger(LEAST).orShorter(WAIT) : WAIT;
+        late = stated ? grace.times(LATE_SHARE).orLonger(LEAST).orShorter(FIRST) : FIRST;
+        again = stated ? grace.times(AGAIN_SHARE).orLonger(LEAST).orShorter(AGAIN) : AGAIN;
+        lookEvery = grace.times(LOOK_SHARE);
+        lookedAt = clock.now();
         this.address = address;
         this.counters = counters;
         this.told = told;
@@ -61,7 +89,7 @@
             return;     // a break that crossed the next call has begun it already
         }
         if (connection == null) {
-            dial = dialer.dial(address, LATE, new Dialer.Dialed() {
+            dial = dialer.dial(address, FIRST, new Dialer.Dialed() {
                 @Override
                 public void connected(Connection made) {
                     dial = null;
@@ -97,19 +125,43 @@
         return true;
     }
 
+    /**
+     * Has what lies unread read, if nobody looked lately: a thread with much to do finds news that binds only after all
+     * else that came with it, and 40 tasks were sent meanwhile by a list that was 0.4 s old.
+     */
+    public void look() {
+        Moment now = clock.now();
+        if (connection != null && now.since(lookedAt).longerThan(lookEvery)) {
+            lookedAt = now;
+            connection.look();
+        }
+    }
+
     public void stop() {
         stopped = true;
         drop();
     }
 
     private void call() {
-        String path = version < 0 ? "/v1/endpoints" : "/v1/endpoints?index=" + version + "&wait=" + WAIT_MS;
+        String path = version < 0 ? "/v1/endpoints" : "/v1/endpoints?index=" + version + "&wait="
+                + Math.round(wait.millis());
         String text = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
                 + "\r\n\r\n";
-        Span most = version < 0 ? LATE : LATE.plus(Span.ofMillis(WAIT_MS));
+        // Once it has been told that no list is to be had the old one is gone by, and the agent may be back any time.
+        Span most = version >= 0 ? wait.plus(late) : failures < FAILURES ? FIRST : late;
         calling = true;
-        timer = thread.executeAfter(() -> retry("no answer"), most.micros(), TimeUnit.MICROSECONDS);
-        connection.exchange(new Answer(), ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+        timer = thread.executeAfter(this::overdue, most.micros(), TimeUnit.MICROSECONDS);
+        answer = new Answer();
+        connection.exchange(answer, ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
+    }
+
+    /** The answer may have come and lie unread, where this thread is what is late. */
+    private void overdue() {
+        Answer mine = answer;
+        connection.look();
+        if (calling && answer == mine) {
+            retry("no answer");
+        }
     }
 
     private final class Answer implements Heard {
@@ -158,11 +210,11 @@
             failures = 0;
             version = listing.version();
             counters.add(listing.whole() ? Counters.Name.LISTS_WHOLE : Counters.Name.LISTS_CHANGES);
-            told.accept(listing);
             if (connection != null && !connection.usable()) {
                 connection = null;
             }
-            thread.execute(Watch.this::start);
+            start();    // before the tasks that waited for the list go out: more news may come meanwhile
+            told.accept(listing);
         }
 
         @Override
@@ -184,7 +236,7 @@
         if (++failures == FAILURES) {
             failed.run();
         }
-        timer = thread.executeAfter(this::start, AGAIN.micros(), TimeUnit.MICROSECONDS);
+        timer = thread.executeAfter(this::start, again.micros(), TimeUnit.MICROSECONDS);
     }
 
     /** The one place where connection, dial and timer are given back. */
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -32,6 +32,7 @@
     final Book book;
     final Route route;
     final Span longest;
+    final Span grace;
     final Admit admit;
     private final Pool pool;
 
@@ -44,6 +45,7 @@
         int clients = sockets - toWorkers;
         int spare = (int) (clients * SPARE);
         longest = settings.types.stream().map(TrafficType::expiry).reduce(Span.ZERO, Span::orLonger);
+        grace = settings.drainGrace;
         pool = new Pool(thread, dialer, clock, platform, counters, toWorkers);
         book = new Book(counters);
         Relay relay = new Relay(book);
@@ -55,6 +57,11 @@
                 new TakeIn(settings, platform.types(), clock, counters, book, admit));
     }
 
+    /** Called before each first byte to a worker. */
+    void beforeFirstByte(Runnable look) {
+        pool.beforeFirstByte(look);
+    }
+
     /** The stop is near: what still comes is bounced, connections end. */
     void lastCall() {
         admit.close();
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -99,10 +99,11 @@
         parts.door.page("/ready", this::ready);
         parts.door.page("/counters", () -> new Door.Page(200, counters.text()));
         parts.door.open(worker, configuration.listen);
-        watch = new Watch(thread, dialer, configuration.discovery, counters, list -> {
+        watch = new Watch(thread, dialer, clock, configuration.discovery, parts.grace, counters, list -> {
             haveList = true;
             parts.route.listed(list, false);
         }, () -> parts.route.listFailed());
+        parts.beforeFirstByte(watch::look);
         watch.start();
         Log.info("started", "name", configuration.name, "listen", configuration.listen);
         new Rehearsal(thread, buffers, clock, () -> counters.get(Counters.Name.TAKEN) == 0, () -> {
--- a/src/main/java/rampshift/stages/Route.java
+++ b/src/main/java/rampshift/stages/Route.java
@@ -84,25 +84,28 @@
         }
     }
 
-    /** {@code remembered}: the list had before the start, perhaps old. */
+    /**
+     * {@code remembered}: the list had before the start, perhaps old. It may come in the midst of a decision; then it
+     * binds what is sent at once, and the module hears of it after that decision.
+     */
     public void listed(Listing list, boolean remembered) {
+        boolean whole = list.whole() || remembered;
+        if (whole) {
+            pool.beginWhole();
+        }
+        for (Target t : list.targets()) {
+            pool.listed(uids.number(t.uid()), t.uid(), t.address(), t.bootMs(), t.state() == Target.State.READY);
+        }
+        if (whole) {
+            pool.endWhole();
+        }
         hear(() -> {
-            boolean whole = list.whole() || remembered;
             choice.listBegins(remembered ? Choice.List.REMEMBERED
                     : whole ? Choice.List.WHOLE : Choice.List.CHANGES);
-            if (whole) {
-                pool.beginWhole();
-            }
             for (Target t : list.targets()) {
-                long number = uids.number(t.uid());
-                boolean ready = t.state() == Target.State.READY;
-                pool.listed(number, t.uid(), t.address(), t.bootMs(), ready);
-                choice.listed(number, index(platform.zones(), t.zone()), t.cell(),
+                choice.listed(uids.number(t.uid()), index(platform.zones(), t.zone()), t.cell(),
                         index(platform.kinds(), t.kind()), Choice.Listed.valueOf(t.state().name()), Moment.ofMillis(t.bootMs()), t.weight());
             }
-            if (whole) {
-                pool.endWhole();
-            }
             choice.listEnds();
         });
     }
--- a/src/main/java/rampshift/workers/Assignment.java
+++ b/src/main/java/rampshift/workers/Assignment.java
@@ -91,6 +91,7 @@
     /** A drain or another address may have been told while the connection was made. */
     @Override
     public boolean mayWrite() {
+        pool.beforeFirstByte.run();
         boolean may = place.ready && current();
         if (!may) {
             pool.counters.add(Counters.Name.FIRST_BYTE_HELD_BACK);
--- a/src/main/java/rampshift/workers/Pool.java
+++ b/src/main/java/rampshift/workers/Pool.java
@@ -40,6 +40,8 @@
     private Moment lastStale;
     private boolean closed;
     private XnioExecutor.Key sweep;
+    /** Has it read what the list service has written, before a first byte goes by an old list. */
+    Runnable beforeFirstByte = () -> { };
 
     public Pool(XnioIoThread thread, Dialer dialer, Clock clock, Platform platform, Counters counters,
             int most) {
@@ -52,6 +54,11 @@
         sweepLater();
     }
 
+    /** Called before each first byte of an assignment. */
+    public void beforeFirstByte(Runnable look) {
+        beforeFirstByte = look;
+    }
+
     /** What a list tells of a worker; with no address it can't be sent to. */
     public void listed(long number, String uid, InetSocketAddress address, long bootMs, boolean ready) {
         Place place = places.computeIfAbsent(number, n -> new Place(n, uid));
--- /dev/null
+++ b/src/test/java/rampshift/discovery/WatchTest.java
@@ -0,0 +1,111 @@
+package rampshift.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static rampshift.StandIns.list;
+import static rampshift.StandIns.until;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.concurrent.FutureTask;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import rampshift.StandIns.Peer;
+import rampshift.connections.Dialer;
+import rampshift.counters.Counters;
+import rampshift.time.Clock;
+import rampshift.time.Span;
+
+/** The watch on a thread that has much else to do. */
+class WatchTest {
+    private final XnioWorker xnio;
+    private final XnioIoThread thread;
+    private final List<Long> told = Collections.synchronizedList(new ArrayList<>());
+    private final List<String> versions = Collections.synchronizedList(new ArrayList<>(List.of(list(true))));
+    private final Peer agent = Peer.discovery(versions);
+    private final Counters counters = new Counters();
+    private Watch watch;
+
+    WatchTest() throws Exception {
+        xnio = Xnio.getInstance().createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
+        thread = xnio.getIoThread(0);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        agent.close();
+        xnio.shutdownNow();
+    }
+
+    private void on(Runnable work) throws Exception {
+        FutureTask<Void> task = new FutureTask<>(work, null);
+        thread.execute(task);
+        task.get();
+    }
+
+    private void busy(int ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private void watch(int grace, Runnable whenTold) throws Exception {
+        on(() -> {
+            watch = new Watch(thread, new Dialer(thread), new Clock(), new InetSocketAddress("127.0.0.1", agent.port()),
+                    Span.ofMillis(grace), counters, l -> {
+                        told.add(l.version());
+                        whenTold.run();
+                    }, () -> { });
+            watch.start();
+        });
+    }
+
+    @Test
+    void newsThatLiesUnreadIsReadWhereSomebodyLooks() throws Exception {
+        watch(2000, () -> { });
+        until("the call for changes is open", () -> agent.received.size() == 2);
+        on(() -> {
+            busy(250);      // nobody has looked for a tenth of the grace
+            versions.add(list(false));
+            busy(200);
+            assertEquals(List.of(1L), told);
+            watch.look();
+            assertEquals(List.of(1L, 2L), told, "and the thread has not left what it does");
+        });
+    }
+
+    /** Tasks that waited for a list go out in one go, which took 84 ms; the next call went out after that. */
+    @Test
+    void theNextCallIsOutBeforeWhatWaitedForTheListGoesOn() throws Exception {
+        List<Long> meanwhile = Collections.synchronizedList(new ArrayList<>());
+        watch(2000, () -> {
+            if (told.size() == 1) {
+                versions.add(list(false));
+                busy(300);
+                watch.look();
+                meanwhile.addAll(told);
+            }
+        });
+        until("both are told", () -> told.size() >= 2);
+        assertEquals(List.of(1L, 2L), meanwhile);
+        assertEquals(0, counters.get(Counters.Name.WATCH_BROKEN));
+    }
+
+    /** Its answer was there in time: it is not asked again on a new connection because this thread was late. */
+    @Test
+    void anAnswerThatLiesUnreadIsNoSilence() throws Exception {
+        watch(200, () -> { });
+        until("the call for changes is open", () -> agent.received.size() == 2);
+        on(() -> busy(600));
+        until("it is watched on", () -> agent.received.size() > 5);
+        assertEquals(0, counters.get(Counters.Name.WATCH_BROKEN));
+    }
+}
--- a/src/test/java/rampshift/serve/ServeTest.java
+++ b/src/test/java/rampshift/serve/ServeTest.java
@@ -16,6 +16,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.AfterEach;
@@ -98,6 +99,61 @@
         assertTrue(silent.received.size() >= 2, "one failure may be a slow start's");
     }
 
+    /** What the agent was sent while it was silent counts as told, and it never answers the call that was open. */
+    @ParameterizedTest
+    @ValueSource(strings = {"start", "middle", "reload"})
+    void anAgentThatWasSilentWithACallOpenIsHeardWithinTheGraceOnceItIsBack(String when) throws Exception {
+        int grace = 400;
+        Peer drained = worker(good());
+        Peer stays = worker(good());
+        AtomicBoolean silent = new AtomicBoolean(!when.equals("middle"));
+        AtomicInteger rev = new AtomicInteger(1);
+        Script script = (message, line) -> {
+            String first = message.first();
+            int known = first.contains("index=") ? Integer.parseInt(first.replaceAll(".*index=(\\d+).*", "$1")) : 0;
+            long end = System.nanoTime() + 1_000_000 * Long.parseLong(known == 0 ? "0" : first.replaceAll(".*wait=(\\d+).*", "$1"));
+            while (!silent.get() && rev.get() <= known && System.nanoTime() < end) {
+                Thread.sleep(2);
+            }
+            if (silent.get()) {
+                return;
+            }
+            String body = list(true, drained.entry("s-1", rev.get() == 1 ? "in_service" : "terminating"),
+                    stays.entry("s-2", "in_service")).replace("REV", rev.toString());
+            line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        };
+        Peer agent = worker(script);
+        Peer other = worker((message, line) -> { });
+        String known = list(true, drained.entry("s-1", "in_service"), stays.entry("s-2", "in_service"));
+        node = new Serve(graceful(when.equals("reload") ? other : agent, known, grace));
+        assertEquals(200, client().task("a", "look", "x").read().status(), "the old list goes on");
+        if (when.equals("reload")) {
+            node.reload(graceful(agent, known, grace));
+        }
+        until("it asks", () -> agent.received.size() > 0);
+        if (when.equals("middle")) {
+            until("it watches", () -> agent.received.size() > 1);
+            silent.set(true);
+            Thread.sleep(20);
+        } else {
+            assertEquals(200, client().task("b", "look", "x").read().status());
+            until("a call is open", () -> agent.received.size() > 2);
+        }
+        rev.set(2);
+        silent.set(false);
+        Thread.sleep(grace + 50);
+        int before = drained.received.size();
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, client().task("c" + i, "look", "x").read().status());
+        }
+        assertEquals(before, drained.received.size());
+    }
+
+    private static Configuration graceful(Peer discovery, String known, int grace) throws IOException {
+        return Configuration.read(StandIns.configuration(discovery, known, LIMITS).replace("\"WeightSource\"",
+                "\"Rules\":{\"StopSendingWithinMs\":" + grace + "},\"WeightSource\"").getBytes(StandardCharsets.UTF_8));
+    }
+
     // ---- the ordinary path
 
     @Test
--- a/src/test/java/rampshift/workers/PoolTest.java
+++ b/src/test/java/rampshift/workers/PoolTest.java
@@ -100,6 +100,19 @@
         on(() -> assertEquals(0, dialer.open()));
     }
 
+    /** A thread with much to do had such news unread for 0.4 s, and sent by the list before it. */
+    @Test
+    void whatTheListServiceHasWrittenIsReadBeforeTheFirstByte() throws Exception {
+        pool(10, 20_000);
+        assign();
+        ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
+        on(() -> {
+            pool.beforeFirstByte(() -> pool.listed(1, "s-1", ADDRESS, 0, false));
+            coming.get(0).handleEvent(pipe.getLeftSide());
+        });
+        assertEquals(List.of(Outcome.NOT_SENT), outcomes);
+    }
+
     @Test
     void aWorkerThatDrainsWhileItIsDialedGetsNoFirstByte() throws Exception {
         pool(10, 20_000);
