Dispatchers know each other: SWIM members on an operator's file, off unless named

Need: dispatchers share nothing today; leases and outages need to know who is there, and a drain is to reach a dispatcher whose list service is silent.

--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -13,6 +13,7 @@
 import rampshift.drill.Drill;
 import rampshift.log.Log;
 import rampshift.migrate.Migrate;
+import rampshift.serve.Beside;
 import rampshift.serve.Serve;
 import rampshift.settings.Configuration;
 import rampshift.settings.Malformed;
@@ -24,9 +25,11 @@
             usage: rampshift [--help] [--version] COMMAND
 
               serve      run a dispatcher on sockets, by the file that NODE_CONFIG names, until SIGTERM;
-                         SIGHUP: read the file again
+                         SIGHUP: read the file again; --operator FILE, or RAMPSHIFT_OPERATOR: with what
+                         that file asks for
               check      read that file and say whether serve could start with it
               migrate    write a configuration's counterpart for another shape of deployment (--help: how)
+              members    ask the dispatcher of an operator's file (--operator FILE) whom it knows of its fleet
               counters   ask the dispatcher of that file what it has taken in, sent and answered
               rehearse   start without a configuration, warm up and stop: for the archive of loaded classes
               drill      play the simulator's wire on standard input and output
@@ -38,6 +41,7 @@
               experiment FILE      its arms against one another, run by run, with a report (--folder)
               ladder FILE          the rate that its dispatchers carry, and what comes of twice and four times that
               judge FILE           the ledgers of a run's --folder once more
+              together FILE        dispatchers that know each other under random faults, judged; --seeds, --shrink
               profile RECORDING    where the CPU time of a dispatcher went, by the JVM's own flight recording
 
               -h, --help       print this
@@ -56,14 +60,15 @@
 
     static int run(String[] args, Map<String, String> environment, PrintStream out, PrintStream err)
             throws IOException {
-        if (args.length > 0 && FleetJar.COMMANDS.contains(args[0])) {
-            return FleetJar.run(args, out, err);
+        if (args.length > 0 && SideJars.FLEET.contains(args[0])) {
+            return SideJars.fleet(args, out, err);
         }
         if (args.length > 0 && args[0].equals("migrate")) {
             return Migrate.run(List.of(args).subList(1, args.length), out, err);
         }
         Options options = new Options().addOption(new Option("h", "help", false, null))
-                .addOption(new Option("V", "version", false, null));
+                .addOption(new Option("V", "version", false, null))
+                .addOption(new Option(null, "operator", true, null));
         CommandLine line;
         try {
             line = new DefaultParser().parse(options, args);
@@ -83,7 +88,8 @@
         String command = line.getArgList().get(0);
         return switch (command) {
             case "drill" -> Drill.run(System.in, out, err);
-            case "serve", "check", "counters" -> configured(command, environment, out, err);
+            case "serve", "check", "counters", "members" -> configured(command,
+                    line.getOptionValue("operator", environment.get("RAMPSHIFT_OPERATOR")), environment, out, err);
             case "rehearse" -> rehearse();
             case "version" -> version(out);
             case "help" -> {
@@ -94,7 +100,7 @@
         };
     }
 
-    private static int configured(String command, Map<String, String> environment, PrintStream out,
+    private static int configured(String command, String operator, Map<String, String> environment, PrintStream out,
             PrintStream err) {
         Semaphore hangups = new Semaphore(0);
         if (command.equals("serve")) {
@@ -102,24 +108,31 @@
             Signal.handle(new Signal("HUP"), s -> hangups.release());
         }
         try {
+            if (command.equals("members")) {
+                out.print(SideJars.operator("members", named(operator)));
+                return 0;
+            }
             Configuration configuration = Configuration.read(environment);
             switch (command) {
                 case "check" -> out.println("good: " + configuration.name + " on " + configuration.listen);
                 case "counters" -> out.print(Ask.page(configuration.listen, "/counters"));
-                default -> serve(configuration, hangups, environment);
+                default -> serve(configuration, operator, hangups, environment);
             }
             return 0;
         } catch (Malformed | IOException e) {
             Log.flush();
-            err.println("rampshift " + command + ": " + e.getMessage());
+            for (String line : e.getMessage().split("\n")) {
+                err.println("rampshift " + command + ": " + line);
+            }
             return 2;
         }
     }
 
     /** Runs it; on SIGHUP the file is read again, here, where nothing waits for the disk. */
-    private static void serve(Configuration configuration, Semaphore hangups, Map<String, String> environment)
-            throws IOException {
-        Serve serve = new Serve(configuration);
+    private static void serve(Configuration configuration, String operator, Semaphore hangups,
+            Map<String, String> environment) throws IOException {
+        Serve serve = operator == null || operator.isEmpty() ? new Serve(configuration)
+                : new Serve(configuration, (Beside) SideJars.operator("beside", operator, configuration.name, version()));
         Runtime.getRuntime().addShutdownHook(new Thread(serve::stop, "stop"));
         while (!serve.ended()) {
             hangups.acquireUninterruptibly();
@@ -139,9 +152,20 @@
         return 0;
     }
 
-    private static int version(PrintStream out) {
+    private static String named(String operator) {
+        if (operator == null || operator.isEmpty()) {
+            throw new Malformed("no operator's file: name one by --operator FILE or RAMPSHIFT_OPERATOR");
+        }
+        return operator;
+    }
+
+    private static String version() {
         String version = Main.class.getPackage().getImplementationVersion();
-        out.println("rampshift " + (version == null ? "(not packaged)" : version));
+        return version == null ? "(not packaged)" : version;
+    }
+
+    private static int version(PrintStream out) {
+        out.println("rampshift " + version());
         return 0;
     }
 
--- a/src/main/java/rampshift/fleet/Commands.java
+++ b/src/main/java/rampshift/fleet/Commands.java
@@ -2,7 +2,7 @@
 
 import java.io.IOException;
 import java.io.PrintStream;
-import rampshift.fleet.plan.Fault;
+import rampshift.toml.Fault;
 import rampshift.fleet.trial.Desk;
 
 /** The fleet's part of the command line. Loaded by name, from a jar of its own: `serve` never sees it. */
--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import rampshift.time.Span;
+import rampshift.toml.Range;
 
 /**
  * A fleet file: what is started, what comes, and what goes wrong when. Spans are as the file gives them, shares
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -13,10 +13,13 @@
 import java.util.List;
 import java.util.Map;
 import rampshift.time.Span;
+import rampshift.toml.Fault;
+import rampshift.toml.Range;
+import rampshift.toml.Section;
+import rampshift.toml.Toml;
 
 /** The one reader of fleet files. */
 public final class PlanReader {
-    private static final long LARGEST = 1 << 20;
     private static final int MOST = 1_000_000;
 
     private PlanReader() {
@@ -29,32 +32,18 @@
 
     /** Reads it as the arm of that name has it. */
     public static Plan read(Path file, String arm) {
-        try {
-            if (Files.size(file) > LARGEST) {
-                throw new Fault(file + ": over " + LARGEST + " bytes");
-            }
-            return read(file.toString(), Files.readString(file), arm);
-        } catch (IOException e) {
-            throw new Fault(file + ": cannot be read (" + e.getClass().getSimpleName() + ")");
-        }
+        return read(file.toString(), Toml.text(file), arm);
     }
 
     public static Plan read(String name, String text, String arm) {
-        JsonNode root;
-        try {
-            root = new TomlMapper().readTree(text);
-        } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
-            throw new Fault(name + ":" + line + ": " + e.getOriginalMessage().split("\n")[0]);
-        }
-        Section.Source source = new Section.Source(name, new Lines(text), new ArrayList<>());
+        Toml file = Toml.read(name, text);
+        Section.Source source = file.source();
+        JsonNode root = file.root();
         if (arm != null) {
             set(source, root, arm);
         }
         Plan plan = plan(source, new Section(source, root, ""));
-        if (!source.faults().isEmpty()) {
-            throw new Fault(source.faults());
-        }
+        file.sound();
         return plan;
     }
 
--- a/src/main/java/rampshift/fleet/trial/Configurations.java
+++ b/src/main/java/rampshift/fleet/trial/Configurations.java
@@ -10,7 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import rampshift.fleet.plan.Fault;
+import rampshift.toml.Fault;
 import rampshift.fleet.plan.Plan;
 import rampshift.fleet.wire.Ports;
 
--- a/src/main/java/rampshift/fleet/trial/Desk.java
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -18,7 +18,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import rampshift.fleet.judge.Verdict;
-import rampshift.fleet.plan.Fault;
+import rampshift.toml.Fault;
 import rampshift.fleet.plan.Plan;
 import rampshift.fleet.plan.PlanReader;
 import rampshift.settings.Configuration;
@@ -113,7 +113,7 @@
         int status = Sitting.load(plan, seed, (int) number(line, "process", 0), to, folder, steered, out);
         if (!steered && status == 0) {
             Outcome o = Outcome.read(plan, folder, new Outcome.Costs(List.of(), List.of(), 0),
-                    rampshift.fleet.ledger.Stamp.now());
+                    rampshift.ledger.Stamp.now());
             Table.print(o, out);
             return o.isVoid() ? 3 : 0;
         }
--- a/src/main/java/rampshift/fleet/ledger/Ledger.java
+++ b/src/main/java/rampshift/ledger/Ledger.java
@@ -1,4 +1,4 @@
-package rampshift.fleet.ledger;
+package rampshift.ledger;
 
 import java.io.Closeable;
 import java.io.IOException;
@@ -6,24 +6,34 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import rampshift.time.Moment;
 
 /**
- * What one process of a run saw, one line an event: {@code micros word field ...}. A thread of its own writes, so
+ * What one process saw, one line an event: {@code micros word field ...}. A thread of its own writes, so
  * that a slow disk never shows up as a slow worker or client. Fields hold no blanks; an empty one is a dash.
  */
 public final class Ledger implements Closeable {
     private static final int MOST_WAITING = 64 << 20;
+    private static final int MOST_KEPT = 1 << 20;
     private static final long EVERY_MS = 100;
 
+    private final boolean kept;
     private final OutputStream out;
     private final Thread writer;
     private StringBuilder lines = new StringBuilder(1 << 16);
-    private IOException broken;
+    private volatile IOException broken;
     private boolean closed;
 
     public Ledger(Path file) throws IOException {
-        out = Files.newOutputStream(file);
+        this(file, false);
+    }
+
+    /** One that is to be kept may go on where it ended; it leaves lines out rather than wait for its disk. */
+    public Ledger(Path file, boolean kept) throws IOException {
+        this.kept = kept;
+        out = kept ? Files.newOutputStream(file, StandardOpenOption.CREATE, StandardOpenOption.APPEND)
+                : Files.newOutputStream(file);
         writer = new Thread(this::write, "ledger");
         writer.setDaemon(true);
         writer.start();
@@ -33,6 +43,9 @@
         if (closed) {
             return;
         }
+        if (kept && (lines.length() > MOST_KEPT || broken != null)) {
+            return;
+        }
         if (lines.length() > MOST_WAITING) {
             throw new IllegalStateException("the ledger's disk does not keep up");
         }
--- a/src/main/java/rampshift/fleet/ledger/Stamp.java
+++ b/src/main/java/rampshift/ledger/Stamp.java
@@ -1,4 +1,4 @@
-package rampshift.fleet.ledger;
+package rampshift.ledger;
 
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
--- /dev/null
+++ b/src/main/java/rampshift/members/host/Ask.java
@@ -0,0 +1,36 @@
+package rampshift.members.host;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+
+/** Asks a running dispatcher, over the address where its fellows reach it, whom it knows. */
+public final class Ask {
+    static final String MEMBERS = "?members";
+    private static final int LONGEST_MS = 3000;
+
+    private Ask() {
+    }
+
+    public static String members(InetSocketAddress at) throws IOException {
+        try (Socket socket = new Socket()) {
+            socket.connect(at, LONGEST_MS);
+            socket.setSoTimeout(LONGEST_MS);
+            byte[] question = MEMBERS.getBytes(StandardCharsets.US_ASCII);
+            DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+            out.writeInt(question.length);
+            out.write(question);
+            DataInputStream in = new DataInputStream(socket.getInputStream());
+            int length = in.readInt();
+            if (length < 0 || length > Frame.MOST) {
+                throw new IOException("an answer that is none");
+            }
+            return new String(in.readNBytes(length), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new IOException("no dispatcher answers at " + at.getHostString() + ":" + at.getPort() + " (" + e.getMessage() + ")");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/members/host/Bindings.java
@@ -0,0 +1,115 @@
+package rampshift.members.host;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import rampshift.discovery.Listing;
+import rampshift.discovery.Target;
+import rampshift.log.Log;
+import rampshift.members.Bulletin;
+import rampshift.members.News;
+import rampshift.serve.Beside;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * Which workers news from others binds, beside what the own list says. Only what binds more is taken from others; what
+ * puts a worker back is the own list's word alone: a list as new as the news, or a later start, or the same list still
+ * being told a stated time after. No sockets, no clock.
+ */
+final class Bindings {
+    private final boolean on;
+    private final Span lasts;
+    private final Beside.Bound bound;
+    private final String name;
+    private final Map<String, Target> own = new HashMap<>();            // looked up, walked where a list is whole
+    private final Map<String, Held> held = new LinkedHashMap<>();
+    private long version = -1;
+    private boolean haveOwn;
+
+    private record Held(News news, Moment since) { }
+
+    Bindings(boolean on, Span lasts, Beside.Bound bound, String name) {
+        this.on = on;
+        this.lasts = lasts;
+        this.bound = bound;
+        this.name = name;
+    }
+
+    int held() {
+        return held.size();
+    }
+
+    void moved() {
+        haveOwn = false;
+        version = -1;
+    }
+
+    /** News from another: true if it binds a worker that the own list still calls ready. */
+    boolean heard(Moment now, News news) {
+        Target t = own.get(news.worker());
+        if (!on || !haveOwn || t == null || t.state() != Target.State.READY || !news.binds(t.bootMs(), version)) {
+            return false;
+        }
+        held.put(news.worker(), new Held(news, now));
+        Log.info("news", "worker", news.worker(), "kind", news.kind(), "version", news.version(), "own", version);
+        bound.bound(new Listing(version, false, List.of(as(t, news))));
+        return true;
+    }
+
+    /** The own list: what is to be gone by, and what the others are to be told. */
+    Listing listed(Moment now, Listing list, Bulletin bulletin, Consumer<News> learnt) {
+        boolean first = !haveOwn;
+        Map<String, Target> before = new HashMap<>(list.whole() ? own : Map.of());
+        haveOwn = true;
+        version = list.version();
+        if (list.whole()) {
+            own.clear();
+        }
+        List<Target> out = new ArrayList<>(list.targets().size());
+        for (Target t : list.targets()) {
+            before.remove(t.uid());
+            if (t.state() == Target.State.GONE) {
+                own.remove(t.uid());
+            } else {
+                own.put(t.uid(), t);
+            }
+            News news = bulletin.of(t.uid());
+            if (t.state() != Target.State.READY) {
+                held.remove(t.uid());
+                learnt.accept(new News(t.uid(), t.bootMs(), version, t.state() == Target.State.GONE ? News.Kind.GONE
+                        : News.Kind.DRAINS));
+            } else if (on && news != null && news.binds(t.bootMs(), version)) {
+                held.putIfAbsent(t.uid(), new Held(news, now));
+                out.add(as(t, news));
+                continue;
+            }
+            out.add(t);
+        }
+        if (!first) {
+            before.values().forEach(t -> learnt.accept(new News(t.uid(), t.bootMs(), version, News.Kind.GONE)));
+        }
+        for (Map.Entry<String, Held> e : List.copyOf(held.entrySet())) {
+            Target t = own.get(e.getKey());
+            News news = e.getValue().news();
+            boolean outlived = now.since(e.getValue().since()).longerThan(lasts);
+            if (t == null || !news.binds(t.bootMs(), version) || outlived) {
+                held.remove(e.getKey());
+                if (t != null) {
+                    out.removeIf(o -> o.uid().equals(t.uid()));
+                    out.add(t);
+                    Log.info("news-over", "worker", t.uid(), "own", version, "of", name);
+                }
+            }
+        }
+        return new Listing(list.version(), list.whole(), out);
+    }
+
+    private static Target as(Target t, News news) {
+        return new Target(t.uid(), t.address(), t.zone(), t.kind(), t.cell(), news.kind() == News.Kind.GONE
+                ? Target.State.GONE : Target.State.DRAINING, t.weight(), t.bootMs());
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/members/host/Host.java
@@ -0,0 +1,279 @@
+package rampshift.members.host;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.xnio.ChannelListener;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.MulticastMessageChannel;
+import org.xnio.channels.SocketAddressBuffer;
+import rampshift.discovery.Listing;
+import rampshift.ledger.Ledger;
+import rampshift.ledger.Stamp;
+import rampshift.log.Log;
+import rampshift.members.Card;
+import rampshift.members.Claim;
+import rampshift.members.Counts;
+import rampshift.members.Event;
+import rampshift.members.News;
+import rampshift.members.Roll;
+import rampshift.serve.Beside;
+import rampshift.settings.Configuration;
+import rampshift.settings.Malformed;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
+
+/**
+ * The sockets and the timer of a member, on the dispatcher's one I/O thread: datagrams and streams on one address. It
+ * owns both, every stream under way, and the ledger.
+ */
+public final class Host implements Beside, Roll.Out {
+    private static final int DATAGRAM = 2048;
+    private static final int AT_ONCE = 64;              // datagrams, then tasks have their turn
+    private static final int MOST_STREAMS = 64;
+
+    private final Setting setting;
+    private final String name;
+    private final String build;
+    private final ByteBuffer buffer = ByteBuffer.allocateDirect(DATAGRAM);
+    private final byte[] bytes = new byte[DATAGRAM];
+    private final SocketAddressBuffer sender = new SocketAddressBuffer();
+    private final Set<Frame> streams = new LinkedHashSet<>();
+    private XnioIoThread thread;
+    private Clock clock;
+    private Ledger ledger;
+    private MulticastMessageChannel datagrams;
+    private AcceptingChannel<StreamConnection> accepting;
+    private XnioExecutor.Key wake;
+    private Roll roll;
+    private Bindings bindings;
+    private boolean ended;
+
+    public Host(Setting setting, String name, String build) throws IOException {
+        this.setting = setting;
+        this.name = name;
+        this.build = build.replaceAll("[^!-~]", "");
+        ledger = setting.ledger() == null ? null : new Ledger(setting.ledger(), true);
+    }
+
+    @Override
+    public void begin(XnioWorker worker, XnioIoThread thread, Clock clock, Configuration configuration, Bound bound)
+            throws IOException {
+        this.thread = thread;
+        this.clock = clock;
+        InetSocketAddress listen = setting.listen();
+        String at = text(listen);
+        if (!name.matches("[!-~]{1,40}")) {
+            throw new Malformed("name \"" + name + "\" is no name that members can go by: 1 to 40 letters, no blanks");
+        }
+        try {
+            datagrams = worker.createUdpServer(listen, c -> { }, OptionMap.EMPTY);
+            ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
+            accepting = worker.createStreamConnectionServer(listen, accept, OptionMap.builder()
+                    .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, 64).getMap());
+        } catch (IOException e) {
+            end();
+            throw new IOException("members: " + at + " can't be listened on (" + e.getMessage() + ")");
+        }
+        bindings = new Bindings(setting.news(), setting.newsFor(), bound, name);
+        long life = new SecureRandom().nextLong();
+        roll = new Roll(new Roll.Start(setting.fleet(), new Card(name, Math.max(1, System.currentTimeMillis()), life, at,
+                setting.site(), build, System.currentTimeMillis(), Card.Doing.JOINING), setting.seeds(), setting.reach(),
+                setting.rules(), life), this);
+        datagrams.getReadSetter().set(c -> readable());
+        datagrams.resumeReads();
+        accepting.resumeAccepts();
+        write("began", name, roll.self().incarnation(), at);
+        roll.start(clock.now());
+    }
+
+    // ---- what the dispatcher tells
+
+    @Override
+    public Listing listed(Listing own) {
+        Moment now = clock.now();
+        return bindings.listed(now, own, roll.bulletin(), news -> roll.learnt(now, news));
+    }
+
+    @Override
+    public void moved() {
+        bindings.moved();
+    }
+
+    @Override
+    public void serving() {
+        roll.doing(clock.now(), Card.Doing.SERVING);
+    }
+
+    @Override
+    public void stopping() {
+        roll.doing(clock.now(), Card.Doing.STOPPING);
+    }
+
+    @Override
+    public void end() {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        if (roll != null) {
+            roll.end(clock.now());
+            Counts c = roll.counts();
+            Log.info("members", "sent", c.sent, "bytes", c.sentBytes, "taken", c.taken, "malformed", c.malformed, "foreign",
+                    c.foreign, "misdirected", c.misdirected, "no_room", c.noRoom, "refuted", c.refuted, "stalls", c.stalls);
+        }
+        if (wake != null) {
+            wake.remove();
+        }
+        IoUtils.safeClose(datagrams);
+        IoUtils.safeClose(accepting);
+        new ArrayList<>(streams).forEach(Frame::close);
+        if (ledger != null) {
+            IoUtils.safeClose(ledger);
+        }
+    }
+
+    // ---- what is decided
+
+    @Override
+    public void send(String to, byte[] datagram) {
+        try {
+            datagrams.sendTo(address(to), ByteBuffer.wrap(datagram));
+        } catch (IOException e) {
+            // As good as lost on the way; the protocol asks again.
+        }
+    }
+
+    @Override
+    public void exchange(String to, byte[] whole) {
+        if (streams.size() >= MOST_STREAMS) {
+            return;
+        }
+        thread.openStreamConnection(address(to), c -> stream(c, whole, answer -> {
+            roll.exchanged(clock.now(), answer, answer.length);
+            return null;
+        }), OptionMap.create(Options.TCP_NODELAY, true));
+    }
+
+    @Override
+    public void wakeAt(Moment when) {
+        if (wake != null) {
+            wake.remove();
+        }
+        wake = thread.executeAfter(() -> roll.woken(clock.now()),
+                Math.max(0, when.since(clock.now()).micros() + 999) / 1000, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void tell(Event event) {
+        write(event.kind().name().toLowerCase(java.util.Locale.ROOT), event.name(), event.incarnation(), event.detail());
+        Log.info("members", "event", event.kind(), "name", event.name(), "incarnation", event.incarnation(), "detail",
+                event.detail());
+    }
+
+    @Override
+    public void heard(News news) {
+        if (bindings.heard(clock.now(), news)) {
+            write("bound", news.worker(), news.version(), news.kind().name());
+        }
+    }
+
+    // ---- sockets
+
+    private void readable() {
+        try {
+            for (int i = 0; i < AT_ONCE && !ended; i++) {
+                buffer.clear();
+                sender.clear();
+                int count = datagrams.receiveFrom(sender, buffer);
+                if (count <= 0) {
+                    return;
+                }
+                buffer.flip().get(bytes, 0, count);
+                roll.datagram(clock.now(), text(sender.getSourceAddress()), bytes, count);
+            }
+        } catch (IOException e) {
+            // One that could not be read, as where an earlier one of ours was refused.
+        }
+    }
+
+    private void accept(AcceptingChannel<StreamConnection> from) {
+        try {
+            for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
+                stream(c, null, this::asked);
+            }
+        } catch (IOException e) {
+            // Closed meanwhile, or no descriptors: they wait.
+        }
+    }
+
+    private byte[] asked(byte[] message) {
+        if (new String(message, StandardCharsets.US_ASCII).equals(Ask.MEMBERS)) {
+            return page().getBytes(StandardCharsets.UTF_8);
+        }
+        return roll.asked(clock.now(), message, message.length);
+    }
+
+    private void stream(StreamConnection connection, byte[] first, java.util.function.Function<byte[], byte[]> got) {
+        if (ended || streams.size() >= MOST_STREAMS) {
+            IoUtils.safeClose(connection);
+            return;
+        }
+        Frame[] frame = new Frame[1];
+        frame[0] = new Frame(connection, thread, first, got, () -> streams.remove(frame[0]));
+        streams.add(frame[0]);
+    }
+
+    private static InetSocketAddress address(String text) {
+        return Configuration.address("member", text);   // checked where it came in; nothing is looked up
+    }
+
+    private static String text(SocketAddress address) {
+        InetSocketAddress a = (InetSocketAddress) address;
+        String host = a.getAddress().getHostAddress();
+        return (host.indexOf(':') < 0 ? host : "[" + host + "]") + ":" + a.getPort();
+    }
+
+    // ---- what people and judges read
+
+    private void write(String word, String of, long number, String detail) {
+        if (ledger != null && !ended) {
+            ledger.line(Stamp.now(), "members", name, word, of, number, detail.replace(' ', '-'));
+        }
+    }
+
+    private String page() {
+        StringBuilder text = new StringBuilder();
+        Counts c = roll.counts();
+        text.append(String.format("fleet %s, this is %s: %s, %d there of %d known, own lateness %d%n", setting.fleet(), name,
+                roll.standing().name().toLowerCase(java.util.Locale.ROOT), roll.there(), roll.others().size() + 1, roll.late()));
+        line(text, new Claim(roll.self(), Claim.Belief.ALIVE, name, 0));
+        roll.others().forEach(o -> line(text, o));
+        text.append(String.format("datagrams sent %d (%d bytes), taken %d, malformed %d, foreign %d, misdirected %d, no room %d%n",
+                c.sent, c.sentBytes, c.taken, c.malformed, c.foreign, c.misdirected, c.noRoom));
+        text.append(String.format("exchanges %d, refuted %d, accused %d, stalls %d, workers bound by news %d%n", c.exchanges,
+                c.refuted, c.accused, c.stalls, bindings.held()));
+        return text.toString();
+    }
+
+    private static void line(StringBuilder text, Claim claim) {
+        Card k = claim.card();
+        text.append(String.format("  %-16s %-8s %-8s %-22s site %-10s incarnation %d, build %s%n", k.name(),
+                claim.belief().name().toLowerCase(java.util.Locale.ROOT), k.doing().name().toLowerCase(java.util.Locale.ROOT),
+                k.at(), k.site(), k.incarnation(), k.build()));
+    }
+}
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -40,6 +40,7 @@
     private static final Span LOOK = Span.ofMillis(20);
 
     private final Configuration configuration;
+    private final Beside beside;        // null where no operator's file asks for one
     private final Clock clock = new Clock();
     private final Counters counters = new Counters();
     private final CountDownLatch ready = new CountDownLatch(1);
@@ -54,7 +55,13 @@
 
     /** Starts it, or throws with one line that says why not. */
     public Serve(Configuration configuration) throws IOException {
+        this(configuration, null);
+    }
+
+    /** The same with what an operator's file asks for; null for nothing. */
+    public Serve(Configuration configuration, Beside beside) throws IOException {
         this.configuration = configuration;
+        this.beside = beside;
         // XNIO would put beans into the platform's JMX server, which takes 0.15 s of CPU to start. With no
         // such server it goes on without; nobody here reads them, the counters are for that.
         System.setProperty("javax.management.builder.initial", "none");
@@ -101,13 +108,19 @@
         parts.door.open(worker, configuration.listen);
         watch = new Watch(thread, dialer, clock, configuration.discovery, parts.grace, counters, list -> {
             haveList = true;
-            parts.route.listed(list, false);
+            parts.route.listed(beside == null ? list : beside.listed(list), false);
         }, () -> parts.route.listFailed());
         parts.beforeFirstByte(watch::look);
+        if (beside != null) {
+            beside.begin(worker, thread, clock, configuration, changes -> parts.route.listed(changes, false));
+        }
         watch.start();
         Log.info("started", "name", configuration.name, "listen", configuration.listen);
         new Rehearsal(thread, buffers, clock, () -> counters.get(Counters.Name.TAKEN) == 0, () -> {
             rehearsed = true;
+            if (beside != null) {
+                beside.serving();
+            }
             Log.info("ready", "list", haveList);
             ready.countDown();
         }).start();
@@ -129,6 +142,9 @@
         thread.execute(() -> {
             Log.info("stopping", "tasks", parts.book.tasks(), "connections", parts.door.connections());
             stopping = true;
+            if (beside != null) {
+                beside.stopping();
+            }
             Moment kill = clock.now().plus(parts.longest.orShorter(LONGEST_STOP)).plus(KILL_AFTER);
             parts.admit.endAt(kill.minus(SHORT), kill.minus(GIVE_UP));
             parts.door.beginStop();
@@ -151,6 +167,9 @@
             Log.info("reload", "discovery", next.discovery, "wait_for_restart", atStart);
             if (watch.move(next.discovery)) {
                 parts.route.listAwaited(false);
+                if (beside != null) {
+                    beside.moved();
+                }
             }
         });
     }
@@ -169,6 +188,9 @@
             if (parts.book.tasks() == 0 && parts.door.empty()) {
                 watch.stop();
                 parts.close();
+                if (beside != null) {
+                    beside.end();
+                }
                 ended.countDown();
                 return;
             }
--- a/src/main/java/rampshift/fleet/plan/Fault.java
+++ b/src/main/java/rampshift/toml/Fault.java
@@ -1,4 +1,4 @@
-package rampshift.fleet.plan;
+package rampshift.toml;
 
 import java.util.List;
 
--- a/src/main/java/rampshift/fleet/plan/Section.java
+++ b/src/main/java/rampshift/toml/Section.java
@@ -1,4 +1,4 @@
-package rampshift.fleet.plan;
+package rampshift.toml;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
@@ -13,8 +13,8 @@
 import org.apache.commons.text.similarity.LevenshteinDistance;
 import rampshift.time.Span;
 
-/** One table of a fleet file, read strictly: each key that is asked for is known, all others are faults. */
-final class Section {
+/** One table of a file, read strictly: each key that is asked for is known, all others are faults. */
+public final class Section {
     private static final Pattern SPAN = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)\\s*(us|ms|s|min)");
     private static final LevenshteinDistance DISTANCE = LevenshteinDistance.getDefaultInstance();
 
@@ -24,13 +24,13 @@
     private final Set<String> known = new LinkedHashSet<>();
 
     /** What all tables of a file share. */
-    record Source(String file, Lines lines, List<String> faults) {
-        void fault(String path, String what) {
+    public record Source(String file, Lines lines, List<String> faults) {
+        public void fault(String path, String what) {
             faults.add(file + ":" + lines.of(path) + ": " + what);
         }
     }
 
-    Section(Source source, JsonNode node, String path) {
+    public Section(Source source, JsonNode node, String path) {
         this.source = source;
         this.path = path;
         if (node != null && !node.isObject()) {
@@ -39,11 +39,11 @@
         this.node = node != null && node.isObject() ? node : JsonNodeFactory.instance.objectNode();
     }
 
-    String path(String key) {
+    public String path(String key) {
         return path.isEmpty() ? key : path + "." + key;
     }
 
-    void fault(String key, String what) {
+    public void fault(String key, String what) {
         source.fault(path(key), path(key) + " " + what);
     }
 
@@ -52,11 +52,11 @@
         return node.get(key);
     }
 
-    boolean has(String key) {
+    public boolean has(String key) {
         return at(key) != null;
     }
 
-    double number(String key, double least, double most, double ifAbsent) {
+    public double number(String key, double least, double most, double ifAbsent) {
         JsonNode value = at(key);
         if (value == null) {
             return ifAbsent;
@@ -68,7 +68,7 @@
         return value.doubleValue();
     }
 
-    int whole(String key, int least, int most, int ifAbsent) {
+    public int whole(String key, int least, int most, int ifAbsent) {
         JsonNode value = at(key);
         if (value == null) {
             return ifAbsent;
@@ -80,7 +80,7 @@
         return value.intValue();
     }
 
-    boolean flag(String key, boolean ifAbsent) {
+    public boolean flag(String key, boolean ifAbsent) {
         JsonNode value = at(key);
         if (value != null && !value.isBoolean()) {
             fault(key, "is " + value + ", expected true or false");
@@ -89,7 +89,7 @@
         return value == null ? ifAbsent : value.booleanValue();
     }
 
-    String text(String key, String ifAbsent) {
+    public String text(String key, String ifAbsent) {
         JsonNode value = at(key);
         if (value != null && !value.isTextual()) {
             fault(key, "is " + value + ", expected text in quotes");
@@ -99,7 +99,7 @@
     }
 
     /** Text that names things on the wire: no blanks, nothing that needs escaping. */
-    String name(String key) {
+    public String name(String key) {
         String text = text(key, null);
         if (text == null || !text.matches("[A-Za-z0-9_.-]{1,40}")) {
             fault(key, "is " + (text == null ? "missing" : "\"" + text + "\"")
@@ -109,7 +109,7 @@
         return text;
     }
 
-    Span span(String key, Span ifAbsent) {
+    public Span span(String key, Span ifAbsent) {
         JsonNode value = at(key);
         if (value == null) {
             return ifAbsent;
@@ -137,7 +137,7 @@
     }
 
     /** One span, or the two ends of a range. */
-    Range range(String key, Range ifAbsent) {
+    public Range range(String key, Range ifAbsent) {
         JsonNode value = at(key);
         if (value == null) {
             return ifAbsent;
@@ -151,7 +151,7 @@
         return new Range(from, to);
     }
 
-    <E extends Enum<E>> E oneOf(String key, Class<E> type, E ifAbsent) {
+    public <E extends Enum<E>> E oneOf(String key, Class<E> type, E ifAbsent) {
         String text = text(key, null);
         if (text == null) {
             return ifAbsent;
@@ -168,7 +168,7 @@
         return ifAbsent;
     }
 
-    List<String> texts(String key, List<String> ifAbsent) {
+    public List<String> texts(String key, List<String> ifAbsent) {
         JsonNode value = at(key);
         if (value == null) {
             return ifAbsent;
@@ -183,11 +183,11 @@
         return texts;
     }
 
-    Section section(String key) {
+    public Section section(String key) {
         return new Section(source, at(key), path(key));
     }
 
-    List<Section> sections(String key) {
+    public List<Section> sections(String key) {
         JsonNode value = at(key);
         List<Section> sections = new ArrayList<>();
         if (value != null && !value.isArray()) {
@@ -201,12 +201,12 @@
     }
 
     /** The table as it stands, for what is passed on as it is. */
-    JsonNode raw(String key) {
+    public JsonNode raw(String key) {
         return at(key);
     }
 
     /** Whatever was not asked for is unknown. */
-    void end() {
+    public void end() {
         for (Iterator<String> names = node.fieldNames(); names.hasNext();) {
             String name = names.next();
             if (!known.contains(name)) {
--- a/src/test/java/rampshift/fleet/plan/PlanReaderTest.java
+++ b/src/test/java/rampshift/fleet/plan/PlanReaderTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
+import rampshift.toml.Fault;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import rampshift.time.Span;
--- /dev/null
+++ b/src/test/java/rampshift/members/Net.java
@@ -0,0 +1,272 @@
+package rampshift.members;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** A network in simulated time, drawn by a seed, between as many members as a story wants. */
+final class Net {
+    static final Rules RULES = new Rules(Span.ofMillis(1000), Span.ofMillis(3_600_000));
+    private static final double STREAM_AFTER = 2;       // times a datagram's way
+
+    private record Due(long at, long number, Runnable what) { }
+
+    final Map<String, Node> nodes = new TreeMap<>();
+    final SplittableRandom chance;
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.number, b.number));
+    private final Map<String, Double> lost = new HashMap<>();     // by way, "a>b"
+    private final List<String> seeds = new ArrayList<>();
+    private long now;
+    private long numbers;
+    double lostEverywhere;
+    double repeated;
+    int leastMs = 1;
+    int mostMs = 20;
+
+    /** One process after another under one name. */
+    final class Node implements Roll.Out {
+        final String name;
+        final int place;
+        final List<Event> told = new ArrayList<>();
+        final List<News> heard = new ArrayList<>();
+        final Map<String, Long> incarnations = new HashMap<>();
+        Roll roll;
+        private long lives;
+        private long wakes;
+        private long clockMs = 1_000_000;
+        private boolean stopped;
+        private final List<Runnable> waiting = new ArrayList<>();
+
+        Node(String name, int place) {
+            this.name = name;
+            this.place = place;
+        }
+
+        String address() {
+            return "10.0." + place / 250 + "." + (place % 250 + 1) + ":7";
+        }
+
+        /** A new process; its clock says what it will. */
+        void start(long clockMs) {
+            this.clockMs = clockMs;
+            long life = ++lives * 1000 + place;
+            roll = new Roll(new Roll.Start("fleet", new Card(name, clockMs, life, address(), "site" + place % 2, "b", clockMs,
+                    Card.Doing.SERVING), seeds, Map.of(), RULES, place), this);
+            stopped = false;
+            waiting.clear();
+            wakes++;
+            roll.start(moment());
+        }
+
+        void start() {
+            start(clockMs + 1);
+        }
+
+        void kill() {
+            roll = null;
+            stopped = false;
+            waiting.clear();
+            wakes++;
+        }
+
+        void stop(boolean on) {
+            stopped = on;
+            if (!on) {
+                List<Runnable> all = List.copyOf(waiting);
+                waiting.clear();
+                all.forEach(this::run);
+            }
+        }
+
+        private void run(Runnable what) {
+            if (stopped) {
+                waiting.add(what);
+            } else if (roll != null) {
+                what.run();
+                watch();
+            }
+        }
+
+        private void watch() {
+            for (Claim c : roll == null ? List.<Claim>of() : roll.others()) {
+                long before = incarnations.getOrDefault(c.card().name(), 0L);
+                if (c.card().incarnation() < before) {
+                    throw new AssertionError(name + " took an older word of " + c);
+                }
+                incarnations.put(c.card().name(), c.card().incarnation());
+            }
+        }
+
+        @Override
+        public void send(String to, byte[] bytes) {
+            Node other = byAddress(to);
+            int copies = chance.nextDouble() < repeated ? 2 : 1;
+            for (int i = 0; other != null && i < copies; i++) {
+                if (chance.nextDouble() >= lostEverywhere && chance.nextDouble() >= loss(this, other)) {
+                    after(way(), () -> other.run(() -> other.roll.datagram(moment(), address(), bytes, bytes.length)));
+                }
+            }
+        }
+
+        @Override
+        public void exchange(String to, byte[] whole) {
+            Node other = byAddress(to);
+            Roll asker = roll;
+            if (other == null || loss(this, other) >= 1 || loss(other, this) >= 1) {
+                return;
+            }
+            after(way() * STREAM_AFTER, () -> other.run(() -> {
+                byte[] answer = other.roll.asked(moment(), whole, whole.length);
+                if (answer != null) {
+                    after(way(), () -> run(() -> {
+                        if (roll == asker) {
+                            roll.exchanged(moment(), answer, answer.length);
+                        }
+                    }));
+                }
+            }));
+        }
+
+        @Override
+        public void wakeAt(Moment when) {
+            long wake = ++wakes;
+            at(Math.max(now, when.micros()), () -> {
+                if (wake == wakes) {
+                    run(() -> roll.woken(moment()));
+                }
+            });
+        }
+
+        @Override
+        public void tell(Event event) {
+            told.add(event);
+        }
+
+        @Override
+        public void heard(News news) {
+            heard.add(news);
+        }
+
+        Claim.Belief of(String other) {
+            return roll.others().stream().filter(c -> c.card().name().equals(other)).map(Claim::belief).findFirst().orElse(null);
+        }
+
+        long count(Event.Kind kind) {
+            return told.stream().filter(e -> e.kind() == kind).count();
+        }
+    }
+
+    Net(long seed, int count) {
+        chance = new SplittableRandom(seed);
+        for (int i = 0; i < count; i++) {
+            Node node = new Node("d" + (i + 1), i);
+            nodes.put(node.name, node);
+        }
+        seeds.add(node(1).address());
+        if (count > 1) {
+            seeds.add(node(2).address());
+        }
+    }
+
+    Node node(int number) {
+        return nodes.get("d" + number);
+    }
+
+    Net startAll() {
+        nodes.values().forEach(Node::start);
+        return this;
+    }
+
+    Moment moment() {
+        return new Moment(now);
+    }
+
+    private Node byAddress(String at) {
+        return nodes.values().stream().filter(n -> n.address().equals(at)).findFirst().orElse(null);
+    }
+
+    private double loss(Node from, Node to) {
+        return lost.getOrDefault(from.name + ">" + to.name, 0.0);
+    }
+
+    /** One way between two loses so much; 1: it is cut. */
+    void way(String from, String to, double loss) {
+        lost.put(from + ">" + to, loss);
+    }
+
+    /** Members of different groups don't reach one another. */
+    void cut(List<List<String>> groups) {
+        groups.forEach(a -> groups.forEach(b -> {
+            if (a != b) {
+                a.forEach(x -> b.forEach(y -> way(x, y, 1)));
+            }
+        }));
+    }
+
+    void heal() {
+        lost.clear();
+        lostEverywhere = 0;
+        repeated = 0;
+    }
+
+    private double way() {
+        return 1000 * (leastMs + chance.nextDouble() * (mostMs - leastMs));
+    }
+
+    private void after(double micros, Runnable what) {
+        at(now + Math.round(micros), what);
+    }
+
+    private void at(long when, Runnable what) {
+        due.add(new Due(when, ++numbers, what));
+    }
+
+    void at(double seconds, Runnable what) {
+        at(now + Math.round(seconds * 1_000_000), what);
+    }
+
+    Net run(double seconds) {
+        long end = now + Math.round(seconds * 1_000_000);
+        while (!due.isEmpty() && due.peek().at <= end) {
+            Due next = due.poll();
+            now = next.at;
+            next.what.run();
+        }
+        now = end;
+        return this;
+    }
+
+    /** Runs until it is so; the seconds that took, or -1. */
+    double until(double most, java.util.function.BooleanSupplier so) {
+        long from = now;
+        while (!so.getAsBoolean()) {
+            if ((now - from) / 1e6 >= most) {
+                return -1;
+            }
+            run(0.1);
+        }
+        return (now - from) / 1e6;
+    }
+
+    /** Whoever runs sees whoever runs as there, the others as not, and all see the same. */
+    boolean agree() {
+        for (Node a : nodes.values()) {
+            for (Node b : nodes.values()) {
+                if (a != b && a.roll != null) {
+                    Claim.Belief belief = a.of(b.name);
+                    if (b.roll != null ? belief != Claim.Belief.ALIVE : belief == Claim.Belief.ALIVE || belief == Claim.Belief.SUSPECT) {
+                        return false;
+                    }
+                }
+            }
+        }
+        return true;
+    }
+}
