What lay unread while a dispatcher stood still counts from then; nothing goes out late

By the ledgers: tasks that came while it stood were read after it went on, with X-Remaining counted from then; 25 were sent on up to 0.39 s past their expiry and some answered 200; others were answered 503 after 0.33 s of catching up. Those in hand before the stop were answered within 9 ms of its end, which no program can do sooner. Change: Pulse, a beat every 100 ms on the I/O thread: what is read after a late beat may have come as early as the beat before, its time counts from there, and what has none left is bounced unsent (bounced_stale). No first byte and no held last byte goes out after the expiry.

--- a/src/main/java/rampshift/connections/Connection.java
+++ b/src/main/java/rampshift/connections/Connection.java
@@ -119,6 +119,9 @@
 
     private void release() {
         timer = null;
+        if (!heard.mayFinish()) {
+            return;     // it has given this connection back
+        }
         toWrite = new ByteBuffer[] {lastByte};
         lastByte = null;
         writable();
--- a/src/main/java/rampshift/connections/Heard.java
+++ b/src/main/java/rampshift/connections/Heard.java
@@ -10,6 +10,11 @@
         return true;
     }
 
+    /** The last byte, which was held back, is about to be written; false: it is not, and the connection was given back. */
+    default boolean mayFinish() {
+        return true;
+    }
+
     /** The last byte was written: from now on the other side may have got it all. */
     default void written() {
     }
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -11,6 +11,7 @@
 import rampshift.settings.Platform;
 import rampshift.stages.Admit;
 import rampshift.stages.Book;
+import rampshift.stages.Pulse;
 import rampshift.stages.Relay;
 import rampshift.stages.Route;
 import rampshift.stages.Send;
@@ -35,6 +36,7 @@
     final Span grace;
     final Admit admit;
     private final Pool pool;
+    private final Pulse pulse;
 
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
             Configuration configuration) {
@@ -52,9 +54,10 @@
         route = new Route(thread, clock, settings, platform, pool, book, new Send(pool, clock, book), relay);
         admit = new Admit(Math.min(platform.mostOpen(), clients - spare),
                 (long) (configuration.memoryMb * BODIES * (1 << 20)), clock, book, relay, route);
+        pulse = new Pulse(thread, clock);
         door = new Door(thread, buffers, clock, counters, clients - spare, spare,
                 (long) (configuration.memoryMb * RECEIVING * (1 << 20)), longest.times(CLIENT_IDLE),
-                new TakeIn(settings, platform.types(), clock, counters, book, admit));
+                new TakeIn(settings, platform.types(), clock, counters, book, admit, pulse));
     }
 
     /** Called before each first byte to a worker. */
@@ -69,6 +72,7 @@
     }
 
     void close() {
+        pulse.close();
         door.close();
         pool.close();
         route.close();
--- a/src/main/java/rampshift/stages/Admit.java
+++ b/src/main/java/rampshift/stages/Admit.java
@@ -44,6 +44,11 @@
             relay.bounced(task, Span.ZERO);
             return;
         }
+        if (!clock.now().before(task.expiry)) {
+            book.count(Counters.Name.BOUNCED_STALE);    // it lay unread while this process stood still
+            relay.bounced(task, Span.ZERO);
+            return;
+        }
         if (book.tasks() >= mostTasks || book.bytes() + task.bytes() > mostBytes) {
             Log.warn("full", "tasks", book.tasks(), "bytes", book.bytes());
             book.count(Counters.Name.BOUNCED_FULL);
--- a/src/main/java/rampshift/stages/Send.java
+++ b/src/main/java/rampshift/stages/Send.java
@@ -26,7 +26,7 @@
         task.out++;
         book.count(Counters.Name.ASSIGNED);
         boolean[] ended = {false};
-        Assignment a = pool.assign(worker, task.txn, task.once, () -> task.message(clock.now()), timeout,
+        Assignment a = pool.assign(worker, task.txn, task.once, task.expiry, () -> task.message(clock.now()), timeout,
                 new Assignment.Told() {
                     @Override
                     public void begun() {
--- a/src/main/java/rampshift/stages/TakeIn.java
+++ b/src/main/java/rampshift/stages/TakeIn.java
@@ -27,15 +27,17 @@
     private final Counters counters;
     private final Book book;
     private final Admit next;
+    private final Pulse pulse;
     private long ids;
 
     public TakeIn(Settings settings, List<String> typeNames, Clock clock, Counters counters, Book book,
-            Admit next) {
+            Admit next, Pulse pulse) {
         this.settings = settings;
         this.clock = clock;
         this.counters = counters;
         this.book = book;
         this.next = next;
+        this.pulse = pulse;
         for (int i = 0; i < typeNames.size(); i++) {
             types.put(typeNames.get(i), i);
         }
@@ -101,7 +103,7 @@
         Span patience = left > most.millis() / 1000 ? most : Span.ofMillis(left * 1000);
         next.task(new InHand(++ids, call, txn, type,
                 row.effect() == TrafficType.Effect.SIDE_EFFECTING, slots, memory,
-                clock.now().plus(patience)));
+                clock.now().plus(patience.minus(pulse.unread()))));
     }
 
     /** Plain decimal digits; NaN for all else that Java would take for a number. */
--- a/src/main/java/rampshift/workers/Assignment.java
+++ b/src/main/java/rampshift/workers/Assignment.java
@@ -12,6 +12,7 @@
 import rampshift.counters.Counters;
 import rampshift.decide.Outcome;
 import rampshift.log.Log;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /**
@@ -39,6 +40,8 @@
     private final String txn;
     /** It must not run twice, so it should be known as often as can be that it did not. */
     private final boolean once;
+    /** Nothing of it goes out from then on. */
+    private final Moment expiry;
     private final Supplier<ByteBuffer[]> message;
     private final Told out;
     private final XnioExecutor.Key timeout;
@@ -47,10 +50,11 @@
     private byte[] line = new byte[1024];
     private int length;
 
-    Assignment(Pool pool, Place place, String txn, boolean once, Supplier<ByteBuffer[]> message, Span timeout,
-            Told out) {
+    Assignment(Pool pool, Place place, String txn, boolean once, Moment expiry, Supplier<ByteBuffer[]> message,
+            Span timeout, Told out) {
         super(pool, place);
         this.once = once;
+        this.expiry = expiry;
         this.txn = txn;
         this.message = message;
         this.out = out;
@@ -92,7 +96,7 @@
     @Override
     public boolean mayWrite() {
         pool.beforeFirstByte.run();
-        boolean may = place.ready && current();
+        boolean may = place.ready && current() && inTime();
         if (!may) {
             pool.counters.add(Counters.Name.FIRST_BYTE_HELD_BACK);
             end(Outcome.NOT_SENT, null);
@@ -100,6 +104,20 @@
         return may;
     }
 
+    /** This process may have stood still while the connection was made, or while the last byte was held. */
+    private boolean inTime() {
+        return pool.now().before(expiry);
+    }
+
+    @Override
+    public boolean mayFinish() {
+        boolean may = inTime();
+        if (!may) {
+            end(Outcome.NOT_SENT, null);
+        }
+        return may;
+    }
+
     @Override
     public void written() {
         written = true;
--- a/src/main/java/rampshift/workers/Pool.java
+++ b/src/main/java/rampshift/workers/Pool.java
@@ -93,9 +93,9 @@
     }
 
     /** May tell before it returns. */
-    public Assignment assign(long number, String txn, boolean once, Supplier<ByteBuffer[]> message, Span timeout,
-            Assignment.Told told) {
-        Assignment a = new Assignment(this, places.get(number), txn, once, message, timeout, told);
+    public Assignment assign(long number, String txn, boolean once, Moment expiry, Supplier<ByteBuffer[]> message,
+            Span timeout, Assignment.Told told) {
+        Assignment a = new Assignment(this, places.get(number), txn, once, expiry, message, timeout, told);
         a.start();
         return a;
     }
@@ -112,6 +112,10 @@
 
     // ---- for errands
 
+    Moment now() {
+        return clock.now();
+    }
+
     Connection idle(Place place) {
         while (!place.idle.isEmpty()) {
             Connection c = place.idle.pop();
--- a/src/test/java/rampshift/workers/PoolTest.java
+++ b/src/test/java/rampshift/workers/PoolTest.java
@@ -30,6 +30,7 @@
 import rampshift.decide.Outcome;
 import rampshift.settings.Platform;
 import rampshift.time.Clock;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** The pool where the story says when a connection comes up. */
@@ -41,6 +42,7 @@
     private final List<ChannelListener<StreamConnection>> coming = Collections.synchronizedList(new ArrayList<>());
     private final List<FutureResult<StreamConnection>> dials = Collections.synchronizedList(new ArrayList<>());
     private final List<Outcome> outcomes = Collections.synchronizedList(new ArrayList<>());
+    private Moment expiry = new Moment(Long.MAX_VALUE);
     private Dialer dialer;
     private Pool pool;
 
@@ -86,7 +88,7 @@
 
     private Assignment assign(boolean once) throws Exception {
         Assignment[] a = new Assignment[1];
-        on(() -> a[0] = pool.assign(1, "t", once, () -> new ByteBuffer[] {ByteBuffer.wrap(new byte[] {'x'})}, Span.ZERO, this));
+        on(() -> a[0] = pool.assign(1, "t", once, expiry, () -> new ByteBuffer[] {ByteBuffer.wrap(new byte[] {'x'})}, Span.ZERO, this));
         return a[0];
     }
 
@@ -113,6 +115,18 @@
         assertEquals(List.of(Outcome.NOT_SENT), outcomes);
     }
 
+    /** A process that stood still found its connection up first, and only then that the task's time was over. */
+    @Test
+    void nothingOfATaskGoesOutAfterItsExpiry() throws Exception {
+        pool(10, 20_000);
+        expiry = new Clock().now().plus(Span.ofMillis(50));
+        assign();
+        ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
+        Thread.sleep(100);
+        on(() -> coming.get(0).handleEvent(pipe.getLeftSide()));
+        assertEquals(List.of(Outcome.NOT_SENT), outcomes);
+    }
+
     @Test
     void aWorkerThatDrainsWhileItIsDialedGetsNoFirstByte() throws Exception {
         pool(10, 20_000);
