Faults between dispatchers: ways, restarts, single list agents; judged, and drawn by together

Change: fleet.ways gives each ordered pair of dispatchers an address of its own, for datagrams and streams (cut, flapping, lossy, slow, scattered, repeating, narrow, in one direction); dispatcher-ended; list agents silent or old for single dispatchers; the judge counts failures known in time, sound ones taken for failed, views that differ after the last fault, sends after news from fellows, sends after the expiry; what a stop excuses is told from what it does not; together draws faults by seed and shrinks them.

--- a/src/main/java/rampshift/fleet/judge/Verdict.java
+++ b/src/main/java/rampshift/fleet/judge/Verdict.java
@@ -5,10 +5,10 @@
 
 /**
  * What the ledgers of a run show. Copies: assignments beyond the first of a task. Taken: by worker, the assignments
- * it took in each second since the first line.
+ * it took in each second since the first line. Known: from each failure of a dispatcher to each other's word of it.
  */
 public record Verdict(List<Rule> rules, long tasks, long assignments, long copies, Map<String, long[]> taken,
-        List<Mark> marks, long fromMicros) {
+        List<Mark> marks, long fromMicros, List<Double> knownMs) {
     /** One rule: how often it was at stake, how often it broke, and the first few breaches. */
     public record Rule(String name, long atStake, long broken, List<String> examples) { }
 
--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -23,6 +23,7 @@
         Roster roster,
         Network network,
         Dispatchers dispatchers,
+        Members members,
         List<Trouble> troubles,
         Trials trials,
         Ladder ladder,
@@ -100,15 +101,27 @@
         public enum Kind {
             SLOW, HANG, ERRORS, PAUSES, NEIGHBOUR, LATE_REPORTS, DRAIN, LEAVE, CRASH, RESET_BEFORE, RESET_AFTER,
             RESET_WITHIN, HALF_ANSWER, SILENT, SLOW_BYTES, CUT, ROSTER_SILENT, ROSTER_OLD, DISPATCHER_KILLED,
-            DISPATCHER_STOPPED
+            DISPATCHER_STOPPED, DISPATCHER_ENDED, WAY_CUT, WAY_FLAPPING, WAY_LOSSY, WAY_SLOW, WAY_SCATTERED,
+            WAY_REPEATING, WAY_NARROW
         }
 
         /** The dispatchers' processes are the business of whoever started them. */
         public boolean ofDispatchers() {
-            return what == Kind.DISPATCHER_KILLED || what == Kind.DISPATCHER_STOPPED;
+            return what == Kind.DISPATCHER_KILLED || what == Kind.DISPATCHER_STOPPED || what == Kind.DISPATCHER_ENDED;
+        }
+
+        /** Of what goes between dispatchers: names are pairs, d1>d2 for one direction, d1=d2 for both, * for any. */
+        public boolean ofWays() {
+            return what.name().startsWith("WAY_");
         }
     }
 
+    /**
+     * Whether the dispatchers know each other, by an operator's file of their own. Known by: until all others know that
+     * one has failed; agree by: from the last fault until all agree. Both are what the judge asks for.
+     */
+    public record Members(boolean on, Span period, Span forget, boolean news, Span knownBy, Span agreeBy) { }
+
     /** Pairs: one for each seed. Confidence: of the intervals, at least. */
     public record Trials(List<Long> seeds, double confidence, Span settle) { }
 
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -113,6 +113,7 @@
                 machines, types, arrivals(s.section("arrivals"), sites), clients(s.section("clients")),
                 workers(s.section("workers")), cold(s.section("cold")), reports(s.section("reports")),
                 roster(s.section("roster")), network(s.section("network")), dispatchers(s.section("dispatchers")),
+                members(s.section("members"), s.has("members")),
                 troubles(s, sites), trials(s.section("experiment")), ladder(s.section("ladder")),
                 arms(s));
         if (!plan.length().longerThan(plan.clients().warmUp())) {
@@ -238,6 +239,14 @@
         return d;
     }
 
+    private static Plan.Members members(Section s, boolean named) {
+        Span period = s.span("period", Span.ofMillis(200));
+        Plan.Members m = new Plan.Members(s.flag("on", named), period, s.span("forget", Span.ofMillis(86_400_000)),
+                s.flag("news", true), s.span("known_by", period.times(40)), s.span("agree_by", period.times(60)));
+        s.end();
+        return m;
+    }
+
     private static String siteName(Section s, List<Plan.Site> sites) {
         String name = s.text("site", "");
         if (!name.isEmpty() && sites.stream().noneMatch(x -> x.name().equals(name))) {
@@ -260,6 +269,14 @@
             if (trouble.what() == Plan.Trouble.Kind.CUT && trouble.site().isEmpty()) {
                 t.fault("site", "is missing: a cut is of one site");
             }
+            for (String pair : trouble.ofWays() ? trouble.names() : List.<String>of()) {
+                if (!pair.matches("(d\\d+|\\*)[>=](d\\d+|\\*)")) {
+                    t.fault("names", "holds \"" + pair + "\", expected a pair such as \"d1>d2\", \"d1=d2\" or \"d1=*\"");
+                }
+            }
+            if (trouble.ofWays() && trouble.names().isEmpty() && trouble.site().isEmpty()) {
+                t.fault("names", "is missing: pairs such as \"d1>d2\", or a site");
+            }
             t.end();
             troubles.add(trouble);
         }
--- a/src/main/java/rampshift/fleet/trial/Configurations.java
+++ b/src/main/java/rampshift/fleet/trial/Configurations.java
@@ -12,10 +12,12 @@
 import java.util.List;
 import rampshift.toml.Fault;
 import rampshift.fleet.plan.Plan;
+import rampshift.fleet.ways.Ways;
 import rampshift.fleet.wire.Ports;
 
 /** The configurations of a plan's dispatchers, as files that {@code NODE_CONFIG} can name. */
 final class Configurations {
+    private static final int SEEDS = 2;
     private static final ObjectMapper JSON = new ObjectMapper();
 
     private Configurations() {
@@ -46,6 +48,32 @@
         JSON.writeValue(file(folder, dispatcher).toFile(), root);
     }
 
+    static Path operatorFile(Path folder, int dispatcher) {
+        return folder.resolve(name(dispatcher) + ".toml");
+    }
+
+    /** Its fellows as it reaches them; the first two, or whoever is there, are its seeds. */
+    static void writeOperator(Path folder, Plan plan, int dispatcher, int site, List<InetSocketAddress> members,
+            Ways ways) throws IOException {
+        StringBuilder text = new StringBuilder("[members]\nfleet = \"trial\"\nsite = \"" + plan.sites().get(site).name()
+                + "\"\nlisten = \"127.0.0.1:" + members.get(dispatcher).getPort() + "\"\nperiod = \""
+                + plan.members().period().micros() + "us\"\nforget = \"" + Math.round(plan.members().forget().millis())
+                + "ms\"\nnews = " + plan.members().news() + "\nledger = '" + folder.resolve("members-" + name(dispatcher)
+                + ".ledger") + "'\nseeds = [");
+        StringBuilder reach = new StringBuilder();
+        int seeds = 0;
+        for (int other = 0; other < members.size(); other++) {
+            if (other != dispatcher) {
+                String at = "\"127.0.0.1:" + ways.address(dispatcher, other).getPort() + "\"";
+                if (seeds++ < SEEDS) {
+                    text.append(seeds == 1 ? "" : ", ").append(at);
+                }
+                reach.append("[[members.reach]]\nname = \"" + name(other) + "\"\naddress = " + at + "\n");
+            }
+        }
+        Files.writeString(operatorFile(folder, dispatcher), text.append("]\n").append(reach).toString());
+    }
+
     private static ObjectNode settings(Plan plan, int dispatcher, int site) {
         ObjectNode s = JSON.createObjectNode();
         ArrayNode zones = s.putArray("Zones");
--- a/src/main/java/rampshift/fleet/trial/Desk.java
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -32,6 +32,8 @@
             .addOption(option("arm", "the file as that arm has it"))
             .addOption(option("to", "addresses of dispatchers, with commas"))
             .addOption(option("process", "which of the load processes this is"))
+            .addOption(option("seeds", "for together: how many rounds, or the first and the last as 5-9"))
+            .addOption(Option.builder().longOpt("shrink").desc("for together: the fewest faults that still break a rule").get())
             .addOption(option("keep", "for try: keep the run's folder, here"))
             .addOption(Option.builder().longOpt("steered").get());
 
@@ -71,6 +73,8 @@
             }
             case "load" -> load(line, plan, seed, out);
             case "experiment" -> new Experiment(file, plan, folder(line, "rampshift-experiment"), out).run();
+            case "together" -> new Together(file, plan, folder(line, "rampshift-together"), line.getOptionValue("seeds", "10"),
+                    line.hasOption("shrink"), out).run();
             case "ladder" -> new Ladder(file, line.getOptionValue("arm"), plan, folder(line, "rampshift-ladder"), out).run();
             default -> judge(line, plan, out);
         };
--- a/src/main/java/rampshift/fleet/trial/Sitting.java
+++ b/src/main/java/rampshift/fleet/trial/Sitting.java
@@ -10,10 +10,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import rampshift.fleet.clients.Load;
+import rampshift.fleet.ledger.Chances;
 import rampshift.ledger.Ledger;
 import rampshift.ledger.Stamp;
 import rampshift.fleet.plan.Plan;
 import rampshift.fleet.troubles.Timeline;
+import rampshift.fleet.ways.Ways;
 import rampshift.fleet.wire.Ports;
 import rampshift.fleet.workers.Fleet;
 import rampshift.time.Moment;
@@ -28,16 +30,21 @@
 
     /** Workers and roster until standard input ends, if it steers, or until it is stopped. */
     static void fleet(Plan plan, long seed, Path folder, boolean steered, PrintStream out) throws IOException {
-        try (Ledger ledger = new Ledger(folder.resolve("fleet.ledger"))) {
+        List<InetSocketAddress> members = plan.members().on() ? Ports.free(plan.dispatcherCount()) : List.of();
+        try (Ledger ledger = new Ledger(folder.resolve("fleet.ledger"));
+                Ways ways = members.isEmpty() ? null : new Ways(members, Chances.of(seed, "ways"))) {
             Fleet fleet = new Fleet(plan, seed, ledger);
             List<InetSocketAddress> listens = listens(plan);
             int d = 0;
             for (int s = 0; s < plan.sites().size(); s++) {
                 for (int i = 0; i < plan.sites().get(s).dispatchers(); i++, d++) {
                     Configurations.write(folder, plan, seed, d, s, listens.get(d), fleet.agentPort(d), fleet.list(d));
+                    if (ways != null) {
+                        Configurations.writeOperator(folder, plan, d, s, members, ways);
+                    }
                 }
             }
-            Timeline timeline = new Timeline(plan, fleet, ledger);
+            Timeline timeline = new Timeline(plan, fleet, ways, ledger);
             if (steered) {
                 out.println("ready");
                 BufferedReader in = input();
@@ -51,7 +58,8 @@
             }
             out.println(plan.workerCount() + " workers and the roster stand. For a dispatcher of your own:");
             for (int n = 0; n < plan.dispatcherCount(); n++) {
-                out.println("  NODE_CONFIG=" + Configurations.file(folder, n) + " java -jar target/rampshift.jar serve");
+                out.println("  NODE_CONFIG=" + Configurations.file(folder, n) + " java -jar target/rampshift.jar serve"
+                        + (ways == null ? "" : " --operator " + Configurations.operatorFile(folder, n)));
             }
             out.println("Troubles count from the first task. Ctrl-C ends it; the ledger is in " + folder + ".");
             fleet.whenFirstTask(() -> timeline.start(seed, Stamp.now()));
--- a/src/main/java/rampshift/fleet/trial/Table.java
+++ b/src/main/java/rampshift/fleet/trial/Table.java
@@ -41,6 +41,11 @@
             out.printf("%-36s %9d %7d%n", rule.name(), rule.atStake(), rule.broken());
             rule.examples().forEach(e -> out.println("    " + e));
         }
+        if (!verdict.knownMs().isEmpty()) {
+            double[] known = verdict.knownMs().stream().mapToDouble(Double::doubleValue).sorted().toArray();
+            out.printf(Locale.ROOT, "a killed dispatcher was known to have failed after %.0f ms (median), %.0f ms at the most, by %d%n",
+                    known[known.length / 2], known[known.length - 1], known.length);
+        }
     }
 
     private static double others(Map<String, Double> row) {
--- a/src/main/java/rampshift/fleet/trial/Trial.java
+++ b/src/main/java/rampshift/fleet/trial/Trial.java
@@ -85,6 +85,7 @@
                 load.say("go " + zero.micros());
             }
             watch(zero, ledger, listens);
+            ledger.line(Stamp.now(), "finish");
             Outcome.Costs costs = costs();
             for (Children.Child d : dispatchers) {
                 d.end(STOP_MS);
@@ -115,7 +116,11 @@
     }
 
     private Children.Child startDispatcher(int d) throws IOException {
-        return children.start(Configurations.name(d), Program.dispatcher(plan.dispatchers(), folder),
+        List<String> command = Program.dispatcher(plan.dispatchers(), folder);
+        if (plan.members().on()) {
+            command.addAll(List.of("--operator", Configurations.operatorFile(folder, d).toString()));
+        }
+        return children.start(Configurations.name(d), command,
                 Map.of("NODE_CONFIG", Configurations.file(folder, d).toString()), Program.homeOf(plan.dispatchers()),
                 folder.resolve(Configurations.name(d) + "-" + System.nanoTime() + ".log"), this::nothing);
     }
@@ -189,9 +194,17 @@
                 }
                 coming.remove(trouble);
                 for (int d : drawn(trouble)) {
+                    if (back.containsKey(d)) {
+                        continue;       // an earlier trouble has it down already
+                    }
                     if (trouble.what() == Plan.Trouble.Kind.DISPATCHER_KILLED) {
+                        goesOn.remove(d);
                         kill(d, ledger);
                         back.put(d, now.plus(trouble.length()));
+                    } else if (trouble.what() == Plan.Trouble.Kind.DISPATCHER_ENDED) {
+                        ledger.line(now, "ended", d);
+                        dispatchers.get(d).process.destroy();
+                        back.put(d, now.plus(trouble.length()));
                     } else {
                         ledger.line(now, "stopped", d);
                         dispatchers.get(d).signal("STOP");
@@ -209,6 +222,7 @@
             for (int d : List.copyOf(back.keySet())) {
                 if (!now.before(back.get(d))) {
                     back.remove(d);
+                    dispatchers.get(d).kill();      // one that ends in order may still be at it
                     dispatchers.set(d, startDispatcher(d));
                     ledger.line(now, "started", d);
                 }
--- a/src/main/java/rampshift/fleet/troubles/Timeline.java
+++ b/src/main/java/rampshift/fleet/troubles/Timeline.java
@@ -2,25 +2,32 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import rampshift.fleet.ledger.Chances;
 import rampshift.ledger.Ledger;
 import rampshift.ledger.Stamp;
 import rampshift.fleet.plan.Plan;
+import rampshift.fleet.ways.Way;
+import rampshift.fleet.ways.Ways;
 import rampshift.fleet.workers.Fleet;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** Brings the plan's troubles over a fleet, each at its time, and takes them away again. */
 public final class Timeline {
+    private static final double NARROWEST = 1000;       // bytes a second, times the factor
     private static final double PAUSE_EVERY = 20;       // pauses' lengths apart
 
     private final Plan plan;
     private final Fleet fleet;
     private final Ledger ledger;
+    private final Ways ways;
 
-    public Timeline(Plan plan, Fleet fleet, Ledger ledger) {
+    /** Ways: null where the dispatchers don't know each other. */
+    public Timeline(Plan plan, Fleet fleet, Ways ways, Ledger ledger) {
         this.plan = plan;
         this.fleet = fleet;
+        this.ways = ways;
         this.ledger = ledger;
     }
 
@@ -32,12 +39,17 @@
             if (trouble.ofDispatchers()) {
                 continue;
             }
-            List<String> names = Draw.of(trouble, fleet.names(trouble.site()), Chances.of(seed, "trouble " + number));
+            List<String> names = ofDispatchersNamed(trouble) ? trouble.names() : Draw.of(trouble, fleet.names(trouble.site()), Chances.of(seed, "trouble " + number));
             at(zero.plus(trouble.at()), () -> begin(trouble, names));
             at(zero.plus(trouble.at()).plus(trouble.length()), () -> end(trouble, names));
         }
     }
 
+    private static boolean ofDispatchersNamed(Plan.Trouble trouble) {
+        return trouble.ofWays() || trouble.what() == Plan.Trouble.Kind.ROSTER_SILENT
+                || trouble.what() == Plan.Trouble.Kind.ROSTER_OLD;
+    }
+
     private void at(Moment when, Runnable what) {
         fleet.thread().executeAfter(what, Math.max(0, Math.round(when.since(Stamp.now()).millis())),
                 TimeUnit.MILLISECONDS);
@@ -48,9 +60,19 @@
         switch (trouble.what()) {
             case DRAIN -> names.forEach(fleet::drain);
             case LEAVE, CRASH -> names.forEach(fleet::leave);
-            case CUT -> fleet.cut(trouble.site(), true);
-            case ROSTER_SILENT -> fleet.rosterSilent(true);
-            case ROSTER_OLD -> fleet.rosterOld(trouble.delay());
+            case CUT -> {
+                fleet.cut(trouble.site(), true);
+                ways(trouble, w -> w.cut(true));
+            }
+            case ROSTER_SILENT -> fleet.rosterSilent(names, true);
+            case ROSTER_OLD -> fleet.rosterOld(names, trouble.delay());
+            case WAY_CUT -> ways(trouble, w -> w.cut(true));
+            case WAY_FLAPPING -> flap(trouble, true, Stamp.now().plus(trouble.length()));
+            case WAY_LOSSY -> ways(trouble, w -> w.lost(trouble.rate()));
+            case WAY_SLOW -> ways(trouble, w -> w.late(trouble.delay()));
+            case WAY_SCATTERED -> ways(trouble, w -> w.scattered(trouble.delay()));
+            case WAY_REPEATING -> ways(trouble, w -> w.repeated(trouble.rate()));
+            case WAY_NARROW -> ways(trouble, w -> w.narrow(NARROWEST * trouble.factor()));
             case PAUSES -> pause(trouble, names, Stamp.now().plus(trouble.length()));
             default -> names.forEach(n -> fleet.ill(n, trouble, true));
         }
@@ -62,14 +84,61 @@
             case DRAIN -> names.stream().filter(n -> !fleet.down(n)).forEach(fleet::leave);
             case LEAVE -> { }
             case CRASH -> names.forEach(fleet::comeBack);
-            case CUT -> fleet.cut(trouble.site(), false);
-            case ROSTER_SILENT -> fleet.rosterSilent(false);
-            case ROSTER_OLD -> fleet.rosterOld(Span.ZERO);
+            case CUT -> {
+                fleet.cut(trouble.site(), false);
+                ways(trouble, w -> w.cut(false));
+            }
+            case ROSTER_SILENT -> fleet.rosterSilent(names, false);
+            case ROSTER_OLD -> fleet.rosterOld(names, Span.ZERO);
+            case WAY_CUT, WAY_FLAPPING -> ways(trouble, w -> w.cut(false));
+            case WAY_LOSSY -> ways(trouble, w -> w.lost(0));
+            case WAY_SLOW -> ways(trouble, w -> w.late(Span.ZERO));
+            case WAY_SCATTERED -> ways(trouble, w -> w.scattered(Span.ZERO));
+            case WAY_REPEATING -> ways(trouble, w -> w.repeated(0));
+            case WAY_NARROW -> ways(trouble, w -> w.narrow(0));
             case PAUSES -> { }
             default -> names.forEach(n -> fleet.ill(n, trouble, false));
         }
     }
 
+    /** Of a site: all ways between its dispatchers and the others, both directions. */
+    private void ways(Plan.Trouble trouble, Consumer<Way> change) {
+        int[] siteOf = fleet.siteOfDispatchers();
+        for (int from = 0; ways != null && from < siteOf.length; from++) {
+            for (int to = 0; to < siteOf.length; to++) {
+                boolean ofSite = !trouble.site().isEmpty()
+                        && here(trouble, siteOf[from]) != here(trouble, siteOf[to]);
+                int a = from;
+                int b = to;
+                if (a != b && (ofSite || trouble.names().stream().anyMatch(p -> pair(p, a, b)))) {
+                    ways.change(a, b, change);
+                }
+            }
+        }
+    }
+
+    private boolean here(Plan.Trouble trouble, int site) {
+        return plan.sites().get(site).name().equals(trouble.site());
+    }
+
+    private static boolean pair(String pair, int from, int to) {
+        int mark = Math.max(pair.indexOf('>'), pair.indexOf('='));
+        String left = pair.substring(0, mark);
+        String right = pair.substring(mark + 1);
+        return is(left, from) && is(right, to) || pair.charAt(mark) == '=' && is(left, to) && is(right, from);
+    }
+
+    private static boolean is(String name, int dispatcher) {
+        return name.equals("*") || name.equals("d" + (dispatcher + 1));
+    }
+
+    private void flap(Plan.Trouble trouble, boolean cut, Moment until) {
+        if (Stamp.now().before(until)) {
+            ways(trouble, w -> w.cut(cut));
+            at(Stamp.now().plus(trouble.delay()), () -> flap(trouble, !cut, until));
+        }
+    }
+
     private void pause(Plan.Trouble trouble, List<String> names, Moment until) {
         if (!Stamp.now().before(until)) {
             return;
--- a/src/main/java/rampshift/fleet/workers/Fleet.java
+++ b/src/main/java/rampshift/fleet/workers/Fleet.java
@@ -139,7 +139,8 @@
         return mine;
     }
 
-    private int[] siteOfDispatchers() {
+    /** The place of each dispatcher's site, in the plan's order. */
+    public int[] siteOfDispatchers() {
         int[] sites = new int[plan.dispatcherCount()];
         int next = 0;
         for (int s = 0; s < plan.sites().size(); s++) {
@@ -227,12 +228,23 @@
         }
     }
 
-    public void rosterSilent(boolean on) {
-        agents.forEach(a -> a.silent(on));
+    /** The agents of the dispatchers named; of all where none is. */
+    public void rosterSilent(List<String> dispatchers, boolean on) {
+        of(dispatchers).forEach(a -> a.silent(on));
     }
 
-    public void rosterOld(Span ago) {
-        agents.forEach(a -> a.old(ago));
+    public void rosterOld(List<String> dispatchers, Span ago) {
+        of(dispatchers).forEach(a -> a.old(ago));
+    }
+
+    private List<Agent> of(List<String> dispatchers) {
+        List<Agent> some = new ArrayList<>();
+        for (int d = 0; d < agents.size(); d++) {
+            if (dispatchers.isEmpty() || dispatchers.contains("d" + (d + 1))) {
+                some.add(agents.get(d));
+            }
+        }
+        return some;
     }
 
     private StandIn find(String name) {
--- /dev/null
+++ b/src/test/java/rampshift/fleet/trial/TogetherTest.java
@@ -0,0 +1,142 @@
+package rampshift.fleet.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rampshift.fleet.judge.Verdict;
+import rampshift.fleet.plan.PlanReader;
+
+/** Five real dispatchers that know each other, faults between them, and the judge. */
+class TogetherTest {
+    @TempDir
+    private Path folder;
+
+    private Outcome play(int seconds, String members, String troubles) throws Exception {
+        String text = """
+                length = "%ds"
+                [[machine]]
+                name = "m"
+                [[site]]
+                name = "one"
+                dispatchers = 3
+                [[site.workers]]
+                machine = "m"
+                count = 3
+                [[site]]
+                name = "two"
+                dispatchers = 2
+                [[site.workers]]
+                machine = "m"
+                count = 3
+                [[type]]
+                name = "look"
+                work = "20ms"
+                due = "500ms"
+                expiry = "1500ms"
+                [arrivals]
+                rate = 40
+                [experiment]
+                settle = "500ms"
+                [roster]
+                delay = "50ms"
+                [members]
+                period = "100ms"
+                known_by = "4s"
+                agree_by = "3s"
+                %s
+                """.formatted(seconds, members) + troubles;
+        Path file = Files.writeString(folder.resolve("plan.toml"), text);
+        return new Trial(new Children(), PlanReader.read(file), file, null, 1, folder.resolve("run"), l -> { }).play();
+    }
+
+    private static String trouble(String what, String more, double at, double length) {
+        return "[[trouble]]\nwhat = \"%s\"\n%s\nat = \"%.0fms\"\nlength = \"%.0fms\"\n".formatted(what, more, at * 1000, length * 1000);
+    }
+
+    private static String names(String... names) {
+        return "names = [\"" + String.join("\", \"", names) + "\"]";
+    }
+
+    private static void kept(Outcome o) {
+        for (Verdict.Rule rule : o.verdict.rules()) {
+            assertEquals(0, rule.broken(), rule.name() + ": " + rule.examples());
+        }
+    }
+
+    private static long stake(Outcome o, String rule) {
+        return o.verdict.rules().stream().filter(r -> r.name().equals(rule)).findFirst().orElseThrow().atStake();
+    }
+
+    /** Up to the end of the load, after which all end in order. */
+    private List<String> told(String by, String what) throws IOException {
+        long finish = Files.readAllLines(folder.resolve("run/trial.ledger")).stream().filter(l -> l.endsWith(" finish"))
+                .mapToLong(l -> Long.parseLong(l.split(" ")[0])).findFirst().orElseThrow();
+        List<String> lines = new ArrayList<>();
+        for (int d = 1; d <= 5; d++) {
+            for (String line : Files.readAllLines(folder.resolve("run/members-d" + d + ".ledger"))) {
+                String[] f = line.split(" ");
+                if (Long.parseLong(f[0]) < finish && (by.isEmpty() || f[2].equals(by)) && f[3].equals(what)) {
+                    lines.add(line);
+                }
+            }
+        }
+        return lines;
+    }
+
+    /** d1 does not reach d2 at all; d5 hears nothing from its list service, and of a drain from the others. */
+    @Test
+    void oneWayLostMakesNobodyFailAndADrainIsHeardOfFromTheOthers() throws Exception {
+        Outcome o = play(8, "", trouble("way-cut", names("d1>d2"), 0.1, 7.8)
+                + trouble("roster-silent", names("d5"), 1, 6.9) + trouble("drain", names("one-m-1"), 2, 10));
+        kept(o);
+        assertEquals(List.of(), told("", "failed"));
+        List<String> bound = told("d5", "bound");
+        assertEquals(1, bound.size(), "once, and no other worker");
+        long after = Long.parseLong(bound.get(0).split(" ")[0]) - Files.readAllLines(folder.resolve("run/fleet.ledger")).stream()
+                .filter(l -> l.contains(" told ") && l.endsWith("draining")).mapToLong(l -> Long.parseLong(l.split(" ")[0])).min().orElseThrow();
+        assertTrue(after < 250_000, "after the first was told: " + after / 1000 + " ms");
+        assertTrue(stake(o, "drains kept") >= 5, "told to each, to d5 by its fellows");
+    }
+
+    /** It stands still for longer than it takes to be taken for failed. */
+    @Test
+    void oneThatIsStoppedRefutesAndSendsNothingLate() throws Exception {
+        Outcome o = play(12, "", trouble("dispatcher-stopped", names("d4"), 1, 6));
+        kept(o);
+        assertTrue(told("", "failed").stream().filter(l -> l.contains(" failed d4 ")).count() >= 4);
+        assertTrue(told("d4", "refuted").size() >= 1);
+        assertEquals(1, told("d4", "stalled").stream().filter(l -> Integer.parseInt(l.replaceAll(".* (\\d+)-ms$", "$1")) > 5000).count());
+        assertTrue(stake(o, "all agree after the last fault") == 20);
+    }
+
+    @Test
+    void threeOfFiveAreKilledAtOnceWhileALinkFlapsAndOneForGood() throws Exception {
+        Outcome o = play(14, "", trouble("dispatcher-killed", names("d1", "d2", "d3"), 1, 0.8)
+                + trouble("way-flapping", names("d4=d5") + "\ndelay = \"500ms\"", 0.5, 3)
+                + trouble("dispatcher-killed", names("d2"), 8.5, 30));
+        kept(o);
+        assertEquals(4, stake(o, "failures known in time"));
+        assertEquals(4, o.verdict.knownMs().size());
+    }
+
+    @Test
+    void cutInTwoForFiveSecondsWhileAllAreRestartedAndOneAgainAfterwards() throws Exception {
+        String rolling = "";
+        for (int d = 1; d <= 5; d++) {
+            rolling += trouble("dispatcher-ended", names("d" + d), 5.5 + 0.5 * d, 2.5);
+        }
+        Outcome o = play(16, "", trouble("way-cut", "site = \"two\"", 0.5, 5) + trouble("way-lossy", names("*=*") + "\nrate = 0.3", 5.6, 4)
+                + rolling);
+        kept(o);
+        assertTrue(told("d5", "standing").stream().anyMatch(l -> l.contains("MINOR-2/5")), "the smaller part knows that it is");
+        assertTrue(told("d1", "standing").stream().anyMatch(l -> l.contains("MISSING-3/5")));
+        assertEquals(20, stake(o, "all agree after the last fault"));
+    }
+}
