--- a/src/main/java/rampshift/operator/OperatorFile.java
+++ b/src/main/java/rampshift/operator/OperatorFile.java
@@ -18,7 +18,7 @@
 public record OperatorFile(Setting members) {
     private static final Span LEAST_PERIOD = Span.ofMillis(20);
 
-    static OperatorFile read(Path file) {
+    public static OperatorFile read(Path file) {
         return read(file.toString(), Toml.text(file));
     }
 
@@ -34,6 +34,9 @@
 
     private static Setting members(Section s) {
         InetSocketAddress listen = address(s, "listen", s.text("listen", null));
+        if (listen != null && (listen.getAddress().isAnyLocalAddress() || listen.getPort() == 0)) {
+            s.fault("listen", "is a wildcard, expected the address where the others reach this dispatcher");
+        }
         String fleet = s.name("fleet");
         String site = s.has("site") ? s.name("site") : "-";
         Span period = s.span("period", Span.ofMillis(1000));
@@ -50,9 +53,10 @@
         }
         Map<String, String> reach = new LinkedHashMap<>();
         for (Section one : s.sections("reach")) {
+            String name = one.name("name");
             String at = one.text("address", null);
             if (address(one, "address", at) != null) {
-                reach.put(one.name("name"), at);
+                reach.put(name, at);
             }
             one.end();
         }
--- /dev/null
+++ b/src/test/java/rampshift/operator/OperatorFileTest.java
@@ -0,0 +1,48 @@
+package rampshift.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import rampshift.members.host.Setting;
+import rampshift.toml.Fault;
+
+class OperatorFileTest {
+    @Test
+    void theSampleIsGoodAndSaysWhatIsTheDefault() {
+        Setting m = OperatorFile.read(Path.of("deploy/operator.toml")).members();
+        Setting bare = OperatorFile.read("f", "[members]\nfleet = \"valle\"\nlisten = \"127.0.0.1:7946\"\n").members();
+        assertEquals(bare.rules(), m.rules());
+        assertEquals(bare.newsFor(), m.newsFor());
+        assertTrue(m.news() && bare.news());
+        assertNull(OperatorFile.read("f", "").members(), "what is not named is off");
+    }
+
+    @Test
+    void allThatIsWrongIsToldAtOnceWithItsLine() {
+        Fault fault = assertThrows(Fault.class, () -> OperatorFile.read("op.toml", """
+                [members]
+                fleet = "two words"
+                listen = "0.0.0.0:7946"
+                seeds = ["127.0.0.1:7946", "nowhere"]
+                period = "5ms"
+                forgett = "1min"
+                [[members.reach]]
+                name = "d2"
+                address = "127.0.0.1:99999"
+                [durable]
+                """));
+        assertEquals("""
+                op.toml:3: members.listen is a wildcard, expected the address where the others reach this dispatcher
+                op.toml:2: members.fleet is "two words", expected a name of letters, digits, '-', '_' and '.'
+                op.toml:5: members.period is under 20 ms
+                op.toml:4: members.seeds is "nowhere", expected an address with a port
+                op.toml:9: members.reach[0].address is "127.0.0.1:99999", expected an address with a port
+                op.toml:6: members.forgett is not known; the nearest key here is forget
+                op.toml:10: durable is not known; the nearest key here is members""", fault.getMessage());
+        assertEquals(2, fault.status());
+    }
+}
