--- a/src/main/java/rampshift/fleet/roster/Agent.java
+++ b/src/main/java/rampshift/fleet/roster/Agent.java
@@ -93,8 +93,9 @@
     }
 
     /**
-     * It breaks all watches, and tells whoever asks then what the list was so long ago; ZERO: the same with the truth.
-     * A watch that goes on would never hear of it: it asks only for what is newer than what it has.
+     * It breaks all watches, and tells whoever asks then what the list was so long ago, version by version as they age;
+     * ZERO: the same with the truth. A watch that goes on would never hear of it: it asks only for what is newer than
+     * what it has.
      */
     public void old(Span ago) {
         old = ago;
@@ -170,7 +171,9 @@
             if (!waits || silent) {
                 return;
             }
-            List<Entry> news = known < 0 || restate ? null : versions.since(known);
+            long version = old.micros() > 0 ? versions.version(old, Stamp.now()) : versions.version();
+            List<Entry> news = known < 0 || restate ? null
+                    : old.micros() > 0 && known > version ? List.of() : versions.since(known, version);
             restate = false;
             if (news != null && news.isEmpty() && !over) {
                 return;
@@ -183,7 +186,7 @@
             if (whole) {
                 news = old.micros() > 0 ? versions.whole(old, Stamp.now()) : versions.whole();
             }
-            String body = json(versions.version(), whole, news);
+            String body = json(version, whole, news);
             line.write("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " + body.length()
                     + "\r\n\r\n" + body);
             told(whole, news);
--- a/src/main/java/rampshift/fleet/roster/Versions.java
+++ b/src/main/java/rampshift/fleet/roster/Versions.java
@@ -52,14 +52,23 @@
         }
     }
 
-    /** What has changed since that version, the last state of each; null: too long ago, or never so. */
-    List<Entry> since(long known) {
-        if (known > version || known < oldest) {
+    /** The version that was the last so long ago. */
+    long version(Span ago, Moment now) {
+        long then = oldest;
+        for (Change change : changes) {
+            then = now.minus(ago).before(change.when()) ? then : change.version();
+        }
+        return then;
+    }
+
+    /** What changed between two versions, the last state of each; null: too long ago, or never so. */
+    List<Entry> since(long known, long upTo) {
+        if (known > upTo || known < oldest) {
             return null;
         }
         Map<String, Entry> last = new LinkedHashMap<>();
         for (Change change : changes) {
-            if (change.version() > known) {
+            if (change.version() > known && change.version() <= upTo) {
                 last.put(change.entry().uid(), change.entry());
             }
         }
--- a/src/test/java/rampshift/fleet/roster/VersionsTest.java
+++ b/src/test/java/rampshift/fleet/roster/VersionsTest.java
@@ -23,12 +23,12 @@
         v.apply(List.of(A.with(Entry.State.DRAINING)), Moment.ofMillis(1));
         long second = v.version();
         v.apply(List.of(A.with(Entry.State.GONE)), Moment.ofMillis(2));
-        assertEquals("a:GONE", names(v.since(first)));
-        assertEquals("a:GONE", names(v.since(second)));
-        assertEquals("", names(v.since(v.version())));
+        assertEquals("a:GONE", names(v.since(first, v.version())));
+        assertEquals("a:GONE", names(v.since(second, v.version())));
+        assertEquals("", names(v.since(v.version(), v.version())));
         assertEquals("b:READY", names(v.whole()));
-        assertNull(v.since(v.version() + 1), "a version that was never given");
-        assertNull(v.since(0));
+        assertNull(v.since(v.version() + 1, v.version()), "a version that was never given");
+        assertNull(v.since(0, v.version()));
     }
 
     @Test
--- a/src/test/java/rampshift/fleet/trial/TogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/TogetherTest.java
@@ -90,19 +90,21 @@
         return lines;
     }
 
-    /** d1 does not reach d2 at all; d5 hears nothing from its list service, and of a drain from the others. */
+    /** d1 does not reach d2 at all; d5 hears nothing from its list service, d4 only old news: both from the others. */
     @Test
     void oneWayLostMakesNobodyFailAndADrainIsHeardOfFromTheOthers() throws Exception {
         Outcome o = play(8, "", trouble("way-cut", names("d1>d2"), 0.1, 7.8)
-                + trouble("roster-silent", names("d5"), 1, 6.9) + trouble("drain", names("one-m-1"), 2, 10));
+                + trouble("roster-silent", names("d5"), 1, 6.9)
+                + trouble("roster-old", names("d4") + "\ndelay = \"4s\"", 1, 6.9) + trouble("drain", names("one-m-1"), 2, 10));
         kept(o);
         assertEquals(List.of(), told("", "failed"));
-        List<String> bound = told("d5", "bound");
-        assertEquals(1, bound.size(), "once, and no other worker");
-        long after = Long.parseLong(bound.get(0).split(" ")[0]) - Files.readAllLines(folder.resolve("run/fleet.ledger")).stream()
+        List<String> bound = told("", "bound");
+        assertEquals(List.of("d4", "d5"), bound.stream().map(l -> l.split(" ")[2]).filter(d -> d.compareTo("d3") > 0).sorted().toList());
+        assertEquals(List.of(), bound.stream().filter(l -> !l.contains(" one-m-1 ")).toList(), "no other worker");
+        long after = told("d5", "bound").stream().mapToLong(l -> Long.parseLong(l.split(" ")[0])).max().orElseThrow() - Files.readAllLines(folder.resolve("run/fleet.ledger")).stream()
                 .filter(l -> l.contains(" told ") && l.endsWith("draining")).mapToLong(l -> Long.parseLong(l.split(" ")[0])).min().orElseThrow();
         assertTrue(after < 250_000, "after the first was told: " + after / 1000 + " ms");
-        assertTrue(stake(o, "drains kept") >= 5, "told to each, to d5 by its fellows");
+        assertTrue(stake(o, "drains kept") >= 5, "told to each, to two by their fellows");
     }
 
     /** It stands still for longer than it takes to be taken for failed. */
@@ -127,16 +129,17 @@
     }
 
     @Test
-    void cutInTwoForFiveSecondsWhileAllAreRestartedAndOneAgainAfterwards() throws Exception {
+    void cutInTwoThenIntoSingleOnesThenAllRestartedOverLossyWaysAndOneAgainAfterwards() throws Exception {
         String rolling = "";
         for (int d = 1; d <= 5; d++) {
-            rolling += trouble("dispatcher-ended", names("d" + d), 5.5 + 0.5 * d, 2.5);
+            rolling += trouble("dispatcher-ended", names("d" + d), 9.5 + 0.5 * d, 2.5);
         }
-        Outcome o = play(16, "", trouble("way-cut", "site = \"two\"", 0.5, 5) + trouble("way-lossy", names("*=*") + "\nrate = 0.3", 5.6, 4)
-                + rolling);
+        Outcome o = play(20, "", trouble("way-cut", "site = \"two\"", 0.5, 5) + trouble("way-cut", names("*=*"), 5.6, 3.8)
+                + trouble("way-lossy", names("*=*") + "\nrate = 0.3", 9.5, 4) + rolling);
         kept(o);
         assertTrue(told("d5", "standing").stream().anyMatch(l -> l.contains("MINOR-2/5")), "the smaller part knows that it is");
         assertTrue(told("d1", "standing").stream().anyMatch(l -> l.contains("MISSING-3/5")));
+        assertTrue(told("d3", "standing").stream().anyMatch(l -> l.contains("ALONE-1/5")));
         assertEquals(20, stake(o, "all agree after the last fault"));
     }
 }
