Seeds side by side give numbers of their own; members of a trial have addresses of their own

Chances put the seed where L64X128 keeps its odd step: the last bit is lost and the first number does not depend on it. Change: the seed goes into the state; members listen on 127.0.1.0/24, where no other socket takes a port; no fault of a way from a dispatcher to itself. Measured: ChancesTest fails before (50 of 100 seeds alike).

--- a/src/main/java/rampshift/fleet/ledger/Chances.java
+++ b/src/main/java/rampshift/fleet/ledger/Chances.java
@@ -16,6 +16,8 @@
     public static UniformRandomProvider of(long seed, String actor) {
         CRC32 crc = new CRC32();
         crc.update(actor.getBytes(StandardCharsets.UTF_8));
-        return RandomSource.L64_X128_MIX.create(new long[] {seed, crc.getValue(), actor.length(), 1});
+        // The first of the four is only an odd step, of which the last bit is lost: with the seed there, 2 and 3 gave the
+        // same numbers, and every seed the same first one.
+        return RandomSource.L64_X128_MIX.create(new long[] {actor.length(), seed, crc.getValue(), ~seed});
     }
 }
--- a/src/main/java/rampshift/fleet/trial/Sitting.java
+++ b/src/main/java/rampshift/fleet/trial/Sitting.java
@@ -30,7 +30,7 @@
 
     /** Workers and roster until standard input ends, if it steers, or until it is stopped. */
     static void fleet(Plan plan, long seed, Path folder, boolean steered, PrintStream out) throws IOException {
-        List<InetSocketAddress> members = plan.members().on() ? Ports.free(plan.dispatcherCount()) : List.of();
+        List<InetSocketAddress> members = plan.members().on() ? Ports.own(plan.dispatcherCount()) : List.of();
         try (Ledger ledger = new Ledger(folder.resolve("fleet.ledger"));
                 Ways ways = members.isEmpty() ? null : new Ways(members, Chances.of(seed, "ways"))) {
             Fleet fleet = new Fleet(plan, seed, ledger);
--- a/src/main/java/rampshift/fleet/trial/Together.java
+++ b/src/main/java/rampshift/fleet/trial/Together.java
@@ -122,8 +122,9 @@
 
     private String what(UniformRandomProvider chance) {
         String one = "\"d" + (1 + chance.nextInt(plan.dispatcherCount())) + "\"";
-        String pair = "\"d" + (1 + chance.nextInt(plan.dispatcherCount())) + (chance.nextBoolean() ? ">" : "=")
-                + (chance.nextInt(3) == 0 ? "*" : "d" + (1 + chance.nextInt(plan.dispatcherCount()))) + "\"";
+        int from = chance.nextInt(plan.dispatcherCount());
+        int to = (from + 1 + chance.nextInt(Math.max(1, plan.dispatcherCount() - 1))) % plan.dispatcherCount();
+        String pair = "\"d" + (1 + from) + (chance.nextBoolean() ? ">" : "=") + (chance.nextInt(3) == 0 ? "*" : "d" + (1 + to)) + "\"";
         String site = plan.sites().get(chance.nextInt(plan.sites().size())).name();
         return switch (chance.nextInt(11)) {
             case 0 -> "what = \"dispatcher-killed\"\nnames = [" + one + "]\n";
--- a/src/main/java/rampshift/fleet/wire/Ports.java
+++ b/src/main/java/rampshift/fleet/wire/Ports.java
@@ -35,6 +35,20 @@
         return free;
     }
 
+    /**
+     * So many addresses of which nobody else takes one: each is another of 127.0.1.0/24, where no socket of any port
+     * comes from. A port of 127.0.0.1 that was free was taken by the next socket that wanted any.
+     */
+    public static List<InetSocketAddress> own(int count) throws IOException {
+        List<InetSocketAddress> own = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.1." + (1 + i % 250)))) {
+                own.add((InetSocketAddress) socket.getLocalSocketAddress());
+            }
+        }
+        return own;
+    }
+
     /** Throws, naming it, where somebody listens on that port already; 0 is any port. */
     public static void needs(int port) throws IOException {
         try (ServerSocket socket = new ServerSocket()) {
--- /dev/null
+++ b/src/test/java/rampshift/fleet/ledger/ChancesTest.java
@@ -0,0 +1,24 @@
+package rampshift.fleet.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+class ChancesTest {
+    /** Two and three, four and five, and so on were alike, and the first number was the same for all seeds. */
+    @Test
+    void seedsSideBySideGiveNumbersOfTheirOwn() {
+        Set<Long> firsts = new HashSet<>();
+        int high = 0;
+        for (long seed = 0; seed < 100; seed++) {
+            firsts.add(Chances.of(seed, "one").nextLong());
+            high += Chances.of(seed, "one").nextDouble() > 0.5 ? 1 : 0;
+            assertEquals(Chances.of(seed, "one").nextLong(), Chances.of(seed, "one").nextLong());
+        }
+        assertEquals(100, firsts.size());
+        assertTrue(high > 30 && high < 70, "first numbers above a half: " + high);
+    }
+}
