--- a/src/test/java/rampshift/members/MeasureTest.java
+++ b/src/bench/java/rampshift/members/MeasureTest.java
@@ -4,7 +4,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 
-/** The table of docs/measurements.md: mvn -q test -Dtest=MeasureTest -Dmembers.measure=5,20,100 */
+/** The table of docs/measurements.md: mvn -q -Pbench test -Dtest=MeasureTest -Dmembers.measure=5,20,100 */
 @EnabledIfSystemProperty(named = "members.measure", matches = "[\\d,]+")
 class MeasureTest {
     @Test
--- a/src/main/java/rampshift/fleet/judge/Judge.java
+++ b/src/main/java/rampshift/fleet/judge/Judge.java
@@ -95,6 +95,8 @@
     private final Count drains = new Count("drains kept");
     private final Count cold = new Count("no cold worker pushed over");
     private final Count made = new Count("results that a worker made");
+    private final Map<String, Long> drainedAt = new HashMap<>();
+    private double lastSendMs;
     private final Count known = new Count("failures known in time");
     private final Count accused = new Count("nobody sound taken for failed");
     private final Count agreed = new Count("all agree after the last fault");
@@ -146,7 +148,7 @@
         long assignments = tries.values().stream().mapToLong(t -> t.took.size()).sum();
         long reached = tries.values().stream().filter(t -> !t.took.isEmpty()).count();
         return new Verdict(List.of(answered.rule(), after.rule(), twice.rule(), drains.rule(), cold.rule(),
-                made.rule(), known.rule(), accused.rule(), agreed.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from), from, fellows.knownMs);
+                made.rule(), known.rule(), accused.rule(), agreed.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from), from, fellows.knownMs, lastSendMs);
     }
 
     private void gather(Event e) {
@@ -183,6 +185,11 @@
             case "killed" -> killed.computeIfAbsent(e.field(1), k -> new ArrayList<>()).add(e.at());
             case "unasked" -> answered.breach("bytes of no task from dispatcher " + e.field(1) + " at " + e.at());
             case "boot" -> cold.atStake += e.field(2).equals("cold") ? 1 : 0;
+            case "trouble" -> {
+                if (e.field(1).equals("drain") && e.field(2).equals("begins")) {
+                    Arrays.stream(e.field(3).split(",")).forEach(w -> drainedAt.put(w, e.at()));
+                }
+            }
             case "fell" -> cold.breach(e.field(1) + " fell over at " + e.at());
             default -> { }
         }
@@ -221,6 +228,10 @@
                     }
                 }
                 case "took" -> {
+                    Long drained = drainedAt.get(e.field(1));
+                    if (drained != null && first(e) > drained) {
+                        lastSendMs = Math.max(lastSendMs, (first(e) - drained) / 1000.0);
+                    }
                     Long since = told.getOrDefault(e.field(2), Map.of()).get(e.field(1));
                     if (since != null && first(e) > since + grace + slack) {
                         drains.breach(e.field(1) + " got " + e.field(3) + " from dispatcher " + e.field(2) + " "
--- a/src/main/java/rampshift/fleet/judge/Verdict.java
+++ b/src/main/java/rampshift/fleet/judge/Verdict.java
@@ -6,9 +6,10 @@
 /**
  * What the ledgers of a run show. Copies: assignments beyond the first of a task. Taken: by worker, the assignments
  * it took in each second since the first line. Known: from each failure of a dispatcher to each other's word of it.
+ * Last send: the latest new assignment to a worker after it drained, over all dispatchers, told or not; 0 for none.
  */
 public record Verdict(List<Rule> rules, long tasks, long assignments, long copies, Map<String, long[]> taken,
-        List<Mark> marks, long fromMicros, List<Double> knownMs) {
+        List<Mark> marks, long fromMicros, List<Double> knownMs, double lastSendMs) {
     /** One rule: how often it was at stake, how often it broke, and the first few breaches. */
     public record Rule(String name, long atStake, long broken, List<String> examples) { }
 
--- a/src/main/java/rampshift/fleet/trial/Outcome.java
+++ b/src/main/java/rampshift/fleet/trial/Outcome.java
@@ -158,6 +158,7 @@
         f.put("added p99, ms", all("added").getValueAtPercentile(99) / 1000.0);
         f.put("CPU a try, us", 1e6 * cpu() / Math.max(1, sent));
         f.put("copies, % of tries", 100.0 * verdict.copies() / Math.max(1, verdict.tasks()));
+        f.put("last send after a drain, ms", verdict.lastSendMs());
         f.put("resident MB", costs.residentKb().stream().mapToLong(Long::longValue).max().orElse(0) / 1024.0);
         return f;
     }
--- a/src/test/java/rampshift/fleet/judge/JudgeTest.java
+++ b/src/test/java/rampshift/fleet/judge/JudgeTest.java
@@ -95,6 +95,13 @@
         assertEquals("", broken(v));
     }
 
+    @Test
+    void theLastNewSendToADrainedWorkerIsToldWhoeverSentIt() {
+        Verdict v = judge(LOOK + "|5 trouble drain begins v,w|8 took v 0 t - look 8000 warm|45 took w 1 t - look 45000 warm|50 answer t 504 -");
+        assertEquals(40.0, v.lastSendMs());
+        assertEquals(0.0, judge(LOOK + "|8 took v 0 t - look 8000 warm|50 answer t 504 -").lastSendMs());
+    }
+
     @Test
     void anotherDispatchersDeathExcusesNothing() {
         assertEquals("one final answer, in time 1", broken(judge(LOOK + "|50 killed 1|51 broken t reset")));
