--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -1,12 +1,8 @@
 package rampshift.fleet.plan;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import com.fasterxml.jackson.dataformat.toml.TomlMapper;
-import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Iterator;
--- a/src/main/java/rampshift/fleet/trial/Desk.java
+++ b/src/main/java/rampshift/fleet/trial/Desk.java
@@ -4,7 +4,6 @@
 import java.io.InputStream;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
--- a/src/main/java/rampshift/fleet/ways/Ways.java
+++ b/src/main/java/rampshift/fleet/ways/Ways.java
@@ -27,6 +27,7 @@
 public final class Ways implements Closeable {
     private static final int PIECE = 16 * 1024;
     private static final int TRIES = 50;
+    private static final double LONGEST_WRITE_MS = 200;
 
     private final int count;
     private final InetSocketAddress[] members;
@@ -262,9 +263,13 @@
         private void write(SocketChannel out, byte[] bytes) {
             try {
                 ByteBuffer left = ByteBuffer.wrap(bytes);
-                while (left.hasRemaining() && !over) {
+                for (double end = nowMs() + LONGEST_WRITE_MS; left.hasRemaining() && !over;) {
                     if (out.write(left) == 0) {
-                        Thread.onSpinWait();    // loopback, and messages far smaller than its buffers
+                        // Loopback, and messages smaller than its buffers: only a stopped process lets them fill.
+                        if (nowMs() > end) {
+                            end();
+                        }
+                        Thread.onSpinWait();
                     }
                 }
             } catch (IOException e) {
--- a/src/main/java/rampshift/members/Card.java
+++ b/src/main/java/rampshift/members/Card.java
@@ -1,7 +1,5 @@
 package rampshift.members;
 
-import java.util.Comparator;
-
 /**
  * Who a dispatcher says that it is. Life: a number drawn at each start of a process, which tells two processes of one
  * name apart. Incarnation: rises whenever the name has something new to say of itself, over restarts too.
@@ -15,7 +13,6 @@
 
     /** No incarnation lies above: one that did could not be answered by its owner. */
     public static final long MOST = 1L << 62;
-    static final Comparator<Card> BY_NAME = Comparator.comparing(Card::name);
 
     Card again(long higher) {
         return new Card(name, higher, life, at, site, build, startedMs, doing);
--- a/src/main/java/rampshift/members/Member.java
+++ b/src/main/java/rampshift/members/Member.java
@@ -13,8 +13,6 @@
     Moment suspectedAt;
     /** Others that suspect it too. */
     final Set<String> accusers = new HashSet<>();
-    /** When it was last heard of from itself. */
-    Moment heardAt;
 
     Member(Claim claim, Moment now) {
         this.claim = claim;
--- a/src/main/java/rampshift/members/Roll.java
+++ b/src/main/java/rampshift/members/Roll.java
@@ -56,7 +56,6 @@
     private final Bulletin bulletin = new Bulletin();
     private final Pending<Claim> words = new Pending<>();
     private final Pending<News> news = new Pending<>();
-    private final List<News> fresh = new ArrayList<>();
     private final Counts counts = new Counts();
     private final Map<Long, Helping> helping = new LinkedHashMap<>();
     private final List<String> round = new ArrayList<>();
@@ -287,10 +286,6 @@
                 out.heard(n);
             }
         }
-        Member from = members.get(m.from());
-        if (from != null) {
-            from.heardAt = now;
-        }
         if (ending) {
             return;
         }
@@ -463,7 +458,6 @@
 
     private void pass(News what) {
         news.put(what.worker(), what);
-        fresh.add(what);
         if (pushAt == null) {
             pushAt = now.plus(PUSH_AFTER);
         }
@@ -475,7 +469,6 @@
             return;
         }
         pushAt = null;
-        fresh.clear();
         for (Member m : some(Rules.FAN, null)) {
             send(m.card().name(), Message.Kind.TELL, 0, "", List.of());
         }
