--- a/src/test/java/rampshift/fleet/trial/TogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/TogetherTest.java
@@ -139,6 +139,11 @@
         kept(o);
         assertTrue(told("d5", "standing").stream().anyMatch(l -> l.contains("MINOR")), "the smaller part knows that it is");
         assertTrue(told("d1", "standing").stream().anyMatch(l -> l.contains("MISSING")));
+        for (String pair : List.of("d1 d4", "d1 d5", "d5 d1", "d5 d2", "d5 d3")) {
+            assertTrue(told(pair.substring(0, 2), "failed").stream().anyMatch(l -> l.contains(" failed " + pair.substring(3) + " ")),
+                    pair + ": whom it was cut off from");
+        }
+        assertTrue(told("d3", "standing").stream().anyMatch(l -> l.contains("ALONE-1/5")), "cut off from all");
         assertEquals(20, stake(o, "all agree after the last fault"));
     }
 }
