--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -101,13 +101,13 @@
         public enum Kind {
             SLOW, HANG, ERRORS, PAUSES, NEIGHBOUR, LATE_REPORTS, DRAIN, LEAVE, CRASH, RESET_BEFORE, RESET_AFTER,
             RESET_WITHIN, HALF_ANSWER, SILENT, SLOW_BYTES, CUT, ROSTER_SILENT, ROSTER_OLD, DISPATCHER_KILLED,
-            DISPATCHER_STOPPED, DISPATCHER_ENDED, WAY_CUT, WAY_FLAPPING, WAY_LOSSY, WAY_SLOW, WAY_SCATTERED,
+            DISPATCHER_STOPPED, DISPATCHER_STARVED, DISPATCHER_ENDED, WAY_CUT, WAY_FLAPPING, WAY_LOSSY, WAY_SLOW, WAY_SCATTERED,
             WAY_REPEATING, WAY_NARROW
         }
 
         /** The dispatchers' processes are the business of whoever started them. */
         public boolean ofDispatchers() {
-            return what == Kind.DISPATCHER_KILLED || what == Kind.DISPATCHER_STOPPED || what == Kind.DISPATCHER_ENDED;
+            return what.name().startsWith("DISPATCHER_");
         }
 
         /** Of what goes between dispatchers: names are pairs, d1>d2 for one direction, d1=d2 for both, * for any. */
--- a/src/main/java/rampshift/fleet/trial/Trial.java
+++ b/src/main/java/rampshift/fleet/trial/Trial.java
@@ -29,6 +29,7 @@
     private static final Span LEAD = Span.ofMillis(300);        // from the last process ready to the first task
     private static final long STOP_MS = 8000;
     private static final long LOOK_MS = 20;
+    private static final double SLICE = 0.1;                    // seconds; in part of each a starved dispatcher runs
 
     private final Children children;
     private final Plan plan;
@@ -40,6 +41,7 @@
     private final List<Children.Child> dispatchers = new ArrayList<>();
     private final List<Children.Child> loads = new ArrayList<>();
     private final Map<Integer, String> said = new HashMap<>();
+    private final Map<Integer, Children.Child> starving = new HashMap<>();
     private final List<Duration> cpuBefore = new ArrayList<>();
     private final List<Duration> cpuOfDead = new ArrayList<>();
     private Host hostBefore;
@@ -95,6 +97,7 @@
             ledger.close();         // the judge reads it
             return Outcome.read(plan, folder, costs, zero);
         } finally {
+            starving.values().forEach(Children.Child::kill);
             dispatchers.forEach(Children.Child::kill);
             loads.forEach(Children.Child::kill);
             fleet.kill();
@@ -199,12 +202,17 @@
                     }
                     if (trouble.what() == Plan.Trouble.Kind.DISPATCHER_KILLED) {
                         goesOn.remove(d);
+                        fed(d, ledger);
                         kill(d, ledger);
                         back.put(d, now.plus(trouble.length()));
                     } else if (trouble.what() == Plan.Trouble.Kind.DISPATCHER_ENDED) {
                         ledger.line(now, "ended", d);
                         dispatchers.get(d).process.destroy();
                         back.put(d, now.plus(trouble.length()));
+                    } else if (trouble.what() == Plan.Trouble.Kind.DISPATCHER_STARVED) {
+                        ledger.line(now, "starved", d);
+                        starving.put(d, starve(d, trouble.rate()));
+                        goesOn.put(d, now.plus(trouble.length()));
                     } else {
                         ledger.line(now, "stopped", d);
                         dispatchers.get(d).signal("STOP");
@@ -215,7 +223,9 @@
             for (int d : List.copyOf(goesOn.keySet())) {
                 if (!now.before(goesOn.get(d))) {
                     goesOn.remove(d);
-                    ledger.line(now, "continued", d);
+                    if (!fed(d, ledger)) {
+                        ledger.line(now, "continued", d);
+                    }
                     dispatchers.get(d).signal("CONT");
                 }
             }
@@ -244,6 +254,24 @@
         }
     }
 
+    /** Lets it run for that share of each slice, by signals from a process beside it, until that one is ended. */
+    private Children.Child starve(int d, double share) throws IOException {
+        String loop = String.format(java.util.Locale.ROOT,
+                "while kill -STOP $0 2>/dev/null; do sleep %.3f; kill -CONT $0; sleep %.3f; done", SLICE * (1 - share), SLICE * share);
+        return children.start("starver of " + Configurations.name(d), List.of("sh", "-c", loop,
+                String.valueOf(dispatchers.get(d).process.pid())), Map.of(), null,
+                folder.resolve("starver-" + System.nanoTime() + ".log"), this::nothing);
+    }
+
+    private boolean fed(int d, Ledger ledger) {
+        Children.Child held = starving.remove(d);
+        if (held != null) {
+            held.kill();
+            ledger.line(Stamp.now(), "fed", d);
+        }
+        return held != null;
+    }
+
     private List<Integer> drawn(Plan.Trouble kill) {
         List<String> names = new ArrayList<>();
         for (int d = 0; d < dispatchers.size(); d++) {
--- a/src/test/java/rampshift/fleet/judge/FellowsTest.java
+++ b/src/test/java/rampshift/fleet/judge/FellowsTest.java
@@ -23,6 +23,8 @@
         "taken for failed unharmed;   UP|500 members d1 failed d2 1 by-d1|510 members d1 joined d2 2 x|900 finish; nobody sound taken for failed 1",
         "after a stop;                UP|300 stopped 1|480 continued 1|500 members d1 failed d2 1 by-d1|510 members d1 joined d2 2 x|900 finish; ~~",
         "long after a stop;           UP|300 stopped 1|380 continued 1|500 members d1 failed d2 1 by-d1|510 members d1 joined d2 2 x|900 finish; nobody sound taken for failed 1",
+        "the starved is late;         UP|300 starved 1|500 members d1 failed d2 1 by-d1|510 members d1 joined d2 2 x|550 fed 1|900 finish; ~~",
+        "the starved accuses;         UP|300 starved 0|500 members d1 failed d2 1 by-d1|510 members d1 joined d2 2 x|550 fed 0|900 finish; nobody sound taken for failed 1",
         "never agreed again;          UP|300 trouble way_cut begins d1>d2|400 trouble way_cut ends d1>d2|420 members d1 failed d2 1 by-d1|900 finish; all agree after the last fault 1",
         "a suspicion that stays;      UP|300 trouble way_cut begins d1>d2|400 trouble way_cut ends d1>d2|420 members d1 suspected d2 1 by-d1|900 finish; all agree after the last fault 1",
         "not yet long enough;         UP|300 trouble way_cut begins d1>d2|800 trouble way_cut ends d1>d2|420 members d1 failed d2 1 by-d1|900 finish; ~~",
--- a/src/test/java/rampshift/fleet/trial/TogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/TogetherTest.java
@@ -118,6 +118,15 @@
         assertTrue(stake(o, "all agree after the last fault") == 20);
     }
 
+    /** A tenth of a core for 5 s: it may be late itself, and talks nobody out of those who are well. */
+    @Test
+    void oneThatIsStarvedAccusesNobody() throws Exception {
+        Outcome o = play(11, "", trouble("dispatcher-starved", names("d4") + "\nrate = 0.1", 1, 5));
+        kept(o);
+        assertEquals(List.of(), told("", "failed").stream().filter(l -> !l.contains(" failed d4 ")).toList());
+        assertEquals(20, stake(o, "all agree after the last fault"));
+    }
+
     @Test
     void threeOfFiveAreKilledAtOnceWhileALinkFlapsAndOneForGood() throws Exception {
         Outcome o = play(14, "", trouble("dispatcher-killed", names("d1", "d2", "d3"), 1, 0.8)
