Leases: registers on a majority of keepers, terms by one's own clock, walked and played

Change: rampshift.leases (CASPaxos registers, fencing tokens, keepers that are changed by way of both sets, lost and old directories that do not vote), its store and host over the members' address, [leases] in the operator's file, the command leases. Off without the section.

--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -30,6 +30,8 @@
               check      read that file and say whether serve could start with it
               migrate    write a configuration's counterpart for another shape of deployment (--help: how)
               members    ask the dispatcher of an operator's file (--operator FILE) whom it knows of its fleet
+              leases     ask it who holds the fleet's leases, or tell it: give NAME [TO], hold NAME TIME,
+                         keepers NAME,NAME,...
               counters   ask the dispatcher of that file what it has taken in, sent and answered
               rehearse   start without a configuration, warm up and stop: for the archive of loaded classes
               drill      play the simulator's wire on standard input and output
@@ -82,13 +84,14 @@
         if (line.hasOption("version")) {
             return version(out);
         }
-        if (line.getArgList().size() != 1) {
+        boolean several = !line.getArgList().isEmpty() && line.getArgList().get(0).equals("leases");
+        if (line.getArgList().size() != 1 && !several) {
             return wrong(line.getArgList().isEmpty() ? "no command" : "more than one command", err);
         }
         String command = line.getArgList().get(0);
         return switch (command) {
             case "drill" -> Drill.run(System.in, out, err);
-            case "serve", "check", "counters", "members" -> configured(command,
+            case "serve", "check", "counters", "members", "leases" -> configured(line.getArgList(),
                     line.getOptionValue("operator", environment.get("RAMPSHIFT_OPERATOR")), environment, out, err);
             case "rehearse" -> rehearse();
             case "version" -> version(out);
@@ -100,8 +103,9 @@
         };
     }
 
-    private static int configured(String command, String operator, Map<String, String> environment, PrintStream out,
+    private static int configured(List<String> words, String operator, Map<String, String> environment, PrintStream out,
             PrintStream err) {
+        String command = words.get(0);
         Semaphore hangups = new Semaphore(0);
         if (command.equals("serve")) {
             // Left alone the JVM takes SIGHUP for a stop: a new configuration ended the dispatcher.
@@ -112,6 +116,10 @@
                 out.print(SideJars.operator("members", named(operator)));
                 return 0;
             }
+            if (command.equals("leases")) {
+                out.print(SideJars.operator("leases", named(operator), words.subList(1, words.size()).toArray(new String[0])));
+                return 0;
+            }
             Configuration configuration = Configuration.read(environment);
             switch (command) {
                 case "check" -> out.println("good: " + configuration.name + " on " + configuration.listen);
--- /dev/null
+++ b/src/main/java/rampshift/leases/Ballot.java
@@ -0,0 +1,11 @@
+package rampshift.leases;
+
+/** The number of an attempt at a register: the round first, then the life of the process whose attempt it is. */
+record Ballot(long round, long life) implements Comparable<Ballot> {
+    static final Ballot NONE = new Ballot(0, 0);
+
+    @Override
+    public int compareTo(Ballot other) {
+        return round != other.round ? Long.compare(round, other.round) : Long.compare(life, other.life);
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/leases/host/Awake.java
@@ -0,0 +1,58 @@
+package rampshift.leases.host;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * A clock that goes on while the machine sleeps: the running clock of a process stands still then, and a lease would
+ * seem to last. Where the system does not tell, it is the running clock alone. Steps of the wall clock move nothing.
+ */
+final class Awake {
+    private static final Path UPTIME = Path.of("/proc/uptime");     // seconds since the machine's start, sleep counted
+    private static final long ROUGH = 50_000;                       // micros by which the two may differ unslept
+
+    private final Path uptime;
+    private final long zero;
+    private final long upZero;
+    private long slept;
+
+    Awake() {
+        this(UPTIME);
+    }
+
+    Awake(Path uptime) {
+        this.uptime = uptime;
+        zero = System.nanoTime();
+        upZero = up();
+    }
+
+    /** From the process's start on. Asked at the last moment before an act: it looks anew each time. */
+    Moment now() {
+        long up = up();
+        long ran = (System.nanoTime() - zero) / 1000;
+        if (up >= 0 && upZero >= 0) {
+            long gone = up - upZero - ran;
+            if (gone > slept + ROUGH) {
+                slept = gone;
+            }
+        }
+        return new Moment(ran + slept);
+    }
+
+    /** All that the machine slept since the process's start. */
+    Span slept() {
+        return new Span(slept);
+    }
+
+    private long up() {
+        try {
+            String text = Files.readString(uptime);
+            return Math.round(Double.parseDouble(text.substring(0, text.indexOf(' '))) * 1e6);
+        } catch (IOException | RuntimeException e) {
+            return -1;
+        }
+    }
+}
--- a/src/main/java/rampshift/members/Codec.java
+++ b/src/main/java/rampshift/members/Codec.java
@@ -27,9 +27,14 @@
     private final int fleet;
 
     Codec(String fleet) {
+        this.fleet = number(fleet);
+    }
+
+    /** What stands for a fleet's name. */
+    static int number(String fleet) {
         CRC32 crc = new CRC32();
         crc.update(fleet.getBytes(StandardCharsets.UTF_8));
-        this.fleet = (int) crc.getValue();
+        return (int) crc.getValue();
     }
 
     /** Room that a claim takes, in bytes. */
@@ -192,7 +197,7 @@
         return new String(bytes, StandardCharsets.US_ASCII);
     }
 
-    private static int sum(byte[] bytes, int count) {
+    static int sum(byte[] bytes, int count) {
         CRC32C crc = new CRC32C();
         crc.update(bytes, 0, count);
         return (int) crc.getValue();
--- a/src/main/java/rampshift/members/Roll.java
+++ b/src/main/java/rampshift/members/Roll.java
@@ -246,6 +246,12 @@
         return 1 + (int) members.values().stream().filter(Member::there).count();
     }
 
+    /** Where that member is reached from here; null for one that is not known. */
+    public String address(String name) {
+        Member m = members.get(name);
+        return m == null ? null : address(m.card());
+    }
+
     /** Its own lateness, 0 to {@link Rules#MOST_LATE}. */
     public int late() {
         return late;
--- a/src/main/java/rampshift/members/host/Ask.java
+++ b/src/main/java/rampshift/members/host/Ask.java
@@ -16,10 +16,15 @@
     }
 
     public static String members(InetSocketAddress at) throws IOException {
+        return of(at, MEMBERS);
+    }
+
+    /** Any question that begins with a question mark. */
+    public static String of(InetSocketAddress at, String text) throws IOException {
         try (Socket socket = new Socket()) {
             socket.connect(at, LONGEST_MS);
             socket.setSoTimeout(LONGEST_MS);
-            byte[] question = MEMBERS.getBytes(StandardCharsets.US_ASCII);
+            byte[] question = text.getBytes(StandardCharsets.UTF_8);
             DataOutputStream out = new DataOutputStream(socket.getOutputStream());
             out.writeInt(question.length);
             out.write(question);
--- a/src/main/java/rampshift/members/host/Host.java
+++ b/src/main/java/rampshift/members/host/Host.java
@@ -8,6 +8,7 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.xnio.ChannelListener;
@@ -28,6 +29,7 @@
 import rampshift.members.Card;
 import rampshift.members.Claim;
 import rampshift.members.Counts;
+import rampshift.members.Envelope;
 import rampshift.members.Event;
 import rampshift.members.News;
 import rampshift.members.Roll;
@@ -41,7 +43,7 @@
  * The sockets and the timer of a member, on the dispatcher's one I/O thread: datagrams and streams on one address. It
  * owns both, every stream under way, and the ledger.
  */
-public final class Host implements Beside, Roll.Out {
+public final class Host implements Beside, Roll.Out, Post {
     private static final int DATAGRAM = 2048;
     private static final int AT_ONCE = 64;              // datagrams, then tasks have their turn
     private static final int MOST_STREAMS = 64;
@@ -62,9 +64,12 @@
     private Roll roll;
     private Bindings bindings;
     private boolean ended;
+    private final Post.Guest guest;     // null for none
 
-    public Host(Setting setting, String name, String build) throws IOException {
+    /** Guest: what else goes by the members' address; null for nothing. */
+    public Host(Setting setting, String name, String build, Post.Guest guest) throws IOException {
         this.setting = setting;
+        this.guest = guest;
         this.name = name;
         this.build = build.replaceAll("[^!-~]", "");
         ledger = setting.ledger() == null ? null : new Ledger(setting.ledger(), true);
@@ -99,6 +104,16 @@
         accepting.resumeAccepts();
         write("began", name, roll.self().incarnation(), at);
         roll.start(clock.now());
+        if (guest != null) {
+            guest.begin(this);
+            tellGuest();
+        }
+    }
+
+    private void tellGuest() {
+        List<String> there = new ArrayList<>(List.of(name));
+        roll.others().stream().filter(c -> c.belief().compareTo(Claim.Belief.FAILED) < 0).forEach(c -> there.add(c.card().name()));
+        guest.there(there);
     }
 
     // ---- what the dispatcher tells
@@ -121,6 +136,9 @@
 
     @Override
     public void stopping() {
+        if (guest != null) {
+            guest.stopping();
+        }
         roll.doing(clock.now(), Card.Doing.STOPPING);
     }
 
@@ -130,6 +148,9 @@
             return;
         }
         ended = true;
+        if (guest != null) {
+            guest.end();
+        }
         if (roll != null) {
             roll.end(clock.now());
             Counts c = roll.counts();
@@ -181,6 +202,9 @@
     @Override
     public void tell(Event event) {
         write(event.kind().name().toLowerCase(java.util.Locale.ROOT), event.name(), event.incarnation(), event.detail());
+        if (guest != null && roll != null && event.kind() != Event.Kind.STANDING) {
+            thread.execute(this::tellGuest);    // once all that goes with it is known
+        }
         Log.info("members", "event", event.kind(), "name", event.name(), "incarnation", event.incarnation(), "detail",
                 event.detail());
     }
@@ -192,6 +216,29 @@
         }
     }
 
+    // ---- parcels
+
+    @Override
+    public XnioIoThread thread() {
+        return thread;
+    }
+
+    @Override
+    public void post(String to, byte[] parcel) {
+        if (to.equals(name)) {
+            thread.execute(() -> {
+                if (!ended) {
+                    guest.parcel(name, parcel);
+                }
+            });
+            return;
+        }
+        String at = roll.address(to);
+        if (at != null && !ended) {
+            send(at, new Envelope(name, parcel).write(setting.fleet()));
+        }
+    }
+
     // ---- sockets
 
     private void readable() {
@@ -204,6 +251,13 @@
                     return;
                 }
                 buffer.flip().get(bytes, 0, count);
+                if (guest != null && Envelope.is(bytes, count)) {
+                    Envelope e = Envelope.read(setting.fleet(), bytes, count);
+                    if (e != null) {
+                        guest.parcel(e.from(), e.parcel());
+                    }
+                    continue;
+                }
                 roll.datagram(clock.now(), text(sender.getSourceAddress()), bytes, count);
             }
         } catch (IOException e) {
@@ -225,6 +279,11 @@
         if (new String(message, StandardCharsets.US_ASCII).equals(Ask.MEMBERS)) {
             return page().getBytes(StandardCharsets.UTF_8);
         }
+        String answer = guest == null || message.length == 0 || message[0] != '?' ? null
+                : guest.asked(new String(message, StandardCharsets.UTF_8));
+        if (answer != null) {
+            return answer.getBytes(StandardCharsets.UTF_8);
+        }
         return roll.asked(clock.now(), message, message.length);
     }
 
--- /dev/null
+++ b/src/main/java/rampshift/members/host/Post.java
@@ -0,0 +1,30 @@
+package rampshift.members.host;
+
+import java.util.Collection;
+import org.xnio.XnioIoThread;
+
+/** How others than the members use their address: parcels by name, over the same datagrams. All on the I/O thread. */
+public interface Post {
+    /** Lost where that name has no address here, or on the way. Its own name: to itself. */
+    void post(String to, byte[] parcel);
+
+    XnioIoThread thread();
+
+    /** Whoever sends and gets parcels. */
+    interface Guest {
+        void begin(Post post);
+
+        void parcel(String from, byte[] parcel);
+
+        /** Who is there by now; this one among them. */
+        void there(Collection<String> names);
+
+        /** Asked by a person's command; null where the question is none of its own. */
+        String asked(String question);
+
+        /** It is about to end: what it holds is given back. */
+        void stopping();
+
+        void end();
+    }
+}
--- a/src/main/java/rampshift/operator/Operator.java
+++ b/src/main/java/rampshift/operator/Operator.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import rampshift.leases.host.LeasesHost;
 import rampshift.members.host.Ask;
 import rampshift.members.host.Host;
 import rampshift.serve.Beside;
@@ -16,7 +17,41 @@
     /** What that file asks to run beside a dispatcher of that name; null where it asks for nothing. */
     public static Beside beside(String file, String name, String build) throws IOException {
         OperatorFile read = read(file);
-        return read.members() == null ? null : new Host(read.members(), name, build);
+        if (read.members() == null) {
+            return null;
+        }
+        return new Host(read.members(), name, build, read.leases() == null ? null : new LeasesHost(read.leases(), name));
+    }
+
+    /** What is asked, and told, of leases by the dispatcher of that file: words as on the command line. */
+    public static String leases(String file, String[] words) throws IOException {
+        OperatorFile read = read(file);
+        if (read.leases() == null) {
+            throw new Malformed(file + ": has no [leases]");
+        }
+        return Ask.of(read.members().listen(), "?leases" + question(words));
+    }
+
+    private static String question(String[] words) {
+        String all = String.join(" ", words);
+        if (words.length == 0) {
+            return "";
+        }
+        if (all.matches("give [!-~]+( [!-~]+)?|keepers [!-~]+")) {
+            return " " + all;
+        }
+        if (all.matches("hold [!-~]+ (\\d{1,9})(ms|s|min|h)")) {
+            String time = words[2];
+            long number = Long.parseLong(time.replaceAll("\\D", ""));
+            long micros = number * switch (time.replaceAll("\\d", "")) {
+                case "ms" -> 1000L;
+                case "s" -> 1_000_000L;
+                case "min" -> 60_000_000L;
+                default -> 3_600_000_000L;
+            };
+            return " hold " + words[1] + " " + micros;
+        }
+        throw new Malformed("\"" + all + "\": expected nothing, give NAME [TO], hold NAME TIME (as 10min), or keepers NAME,NAME,...");
     }
 
     /** Whom the dispatcher of that file knows, as text. */
--- a/src/main/java/rampshift/operator/OperatorFile.java
+++ b/src/main/java/rampshift/operator/OperatorFile.java
@@ -15,8 +15,10 @@
 import rampshift.toml.Toml;
 
 /** The operator's file. A section that is not there is off. */
-public record OperatorFile(Setting members) {
+public record OperatorFile(Setting members, rampshift.leases.host.Setting leases) {
     private static final Span LEAST_PERIOD = Span.ofMillis(20);
+    private static final Span LEAST_TERM = Span.ofMillis(200);
+    private static final int MOST_KEEPERS = 7;
 
     public static OperatorFile read(Path file) {
         return read(file.toString(), Toml.text(file));
@@ -27,9 +29,45 @@
         Toml file = Toml.read(name, text);
         Section top = file.top();
         Setting members = top.has("members") ? members(top.section("members")) : null;
+        rampshift.leases.host.Setting leases = top.has("leases") ? leases(top.section("leases")) : null;
+        if (leases != null && members == null) {
+            top.fault("leases", "needs [members], over whose address its messages go");
+        }
         top.end();
         file.sound();
-        return new OperatorFile(members);
+        return new OperatorFile(members, leases);
+    }
+
+    private static rampshift.leases.host.Setting leases(Section s) {
+        List<String> keepers = names(s, "keepers");
+        if (keepers.size() % 2 == 0 || keepers.size() > MOST_KEEPERS) {
+            s.fault("keepers", "names " + keepers.size() + ", expected 1, 3, 5 or 7: a majority of them has to be there");
+        }
+        List<String> leases = names(s, "names");
+        Span term = s.span("term", Span.ofMillis(10_000));
+        if (LEAST_TERM.longerThan(term)) {
+            s.fault("term", "is under 200 ms");
+        }
+        double drift = s.number("drift", 0, 0.3, 0.01);
+        Span balance = s.span("balance_every", Span.ofMillis(600_000));
+        String directory = s.text("directory", "");
+        String ledger = s.text("ledger", "");
+        s.end();
+        return new rampshift.leases.host.Setting(keepers, leases, new rampshift.leases.Rules(term, drift, balance),
+                directory.isEmpty() ? null : Path.of(directory), ledger.isEmpty() ? null : Path.of(ledger));
+    }
+
+    private static List<String> names(Section s, String key) {
+        List<String> all = s.texts(key, List.of());
+        for (String one : all) {
+            if (!one.matches("[!-~&&[^,:|#]]{1,40}")) {
+                s.fault(key, "holds \"" + one + "\", expected names of 1 to 40 letters without blanks, commas, colons, bars");
+            }
+        }
+        if (all.isEmpty() || all.stream().distinct().count() < all.size()) {
+            s.fault(key, all.isEmpty() ? "is missing or empty" : "names one twice");
+        }
+        return all;
     }
 
     private static Setting members(Section s) {
--- /dev/null
+++ b/src/test/java/rampshift/leases/ExplorerTest.java
@@ -0,0 +1,56 @@
+package rampshift.leases;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Three keepers, two contenders, whose clocks are a fifth slow and a fifth fast; every interleaving within the bounds. */
+class ExplorerTest {
+    private static final int THREADS = Math.max(2, Runtime.getRuntime().availableProcessors() / 2);
+    private static final long MOST = Long.getLong("explorer.states", 250_000);
+
+    private static Explorer walk(boolean held, Explorer.Bounds bounds, Explorer.Bug bug, String found) throws Exception {
+        Explorer e = new Explorer(bounds, bug);
+        String broken = e.walk(held ? e.beginHeld() : e.begin(), THREADS);
+        if (Boolean.getBoolean("explorer.talk")) {
+            System.out.println(bounds + " " + bug + ": " + e.states + " states" + (e.whole ? ", all there are" : "") + ", somebody acts in "
+                    + e.acted + ", tokens up to " + e.tokens + ": " + broken);
+        }
+        if (found == null) {
+            assertNull(broken);
+            assertTrue(e.acted.get() > 1000, "it was at stake");
+        } else {
+            assertTrue(broken != null && broken.startsWith(found), "found: " + broken);
+        }
+        return e;
+    }
+
+    @Test
+    void twoThatAskAtOnceWithAMessageThatComesTwice() throws Exception {
+        Explorer e = walk(false, new Explorer.Bounds(0, 2, 1, 0, 1_000_000), Explorer.Bug.NONE, null);
+        assertTrue(e.whole);
+    }
+
+    @Test
+    void aKeeperThatCrashesWhileTwoAsk() throws Exception {
+        walk(false, new Explorer.Bounds(0, 2, 0, 1, MOST), Explorer.Bug.NONE, null);
+    }
+
+    @Test
+    void oneRenewsWhileTheOtherWaitsAndTakes() throws Exception {
+        Explorer e = walk(true, new Explorer.Bounds(6, 4, 0, 0, MOST), Explorer.Bug.NONE, null);
+        assertEquals(2, e.tokens.get(), "it was taken over");
+    }
+
+    @Test
+    void anAnswerBeforeItIsOnDiskIsFound() throws Exception {
+        walk(false, new Explorer.Bounds(0, 2, 0, 1, 2_000_000), Explorer.Bug.NO_SYNC, "two act at once");
+    }
+
+    @Test
+    void aWaitThatLeavesOutDriftIsFound() throws Exception {
+        walk(true, new Explorer.Bounds(4, 4, 0, 0, 2_000_000), Explorer.Bug.NO_DRIFT, "two act at once");
+    }
+}
--- /dev/null
+++ b/src/test/java/rampshift/leases/LeasesTest.java
@@ -0,0 +1,329 @@
+package rampshift.leases;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import rampshift.time.Span;
+
+/** Leases over a simulated network: three keepers among five dispatchers, a term of 1 s, clocks up to 5% off. */
+class LeasesTest {
+    private static Sim five() {
+        Sim sim = new Sim(1, 5, 3, 1).startAll();
+        assertTrue(sim.until(5, () -> sim.actor("l0") != null) >= 0, "somebody takes it");
+        return sim;
+    }
+
+    private static Sim.Node holder(Sim sim) {
+        return sim.nodes.get(sim.actor("l0"));
+    }
+
+    @Test
+    void oneTakesItAndKeepsIt() {
+        Sim sim = five();
+        String first = sim.actor("l0");
+        sim.run(30);
+        assertEquals(first, sim.actor("l0"));
+        assertEquals(1, sim.token("l0"));
+    }
+
+    @Test
+    void afterItsHoldersDeathAnotherHasItWithinTwoTerms() {
+        Sim sim = five();
+        holder(sim).kill();
+        double took = sim.until(3, () -> sim.actor("l0") != null);
+        assertTrue(took > 0.7 && took < 2, took + " s");
+        assertEquals(2, sim.token("l0"));
+    }
+
+    @Test
+    void whoeverEndsInOrderGivesItBackAndTheNextIsQuick() {
+        Sim sim = five();
+        Sim.Node first = holder(sim);
+        first.all.end(first.clock());
+        double took = sim.until(3, () -> sim.actor("l0") != null);
+        assertTrue(took >= 0 && took < 0.5, took + " s");
+        assertNotEquals(first.name, sim.actor("l0"));
+    }
+
+    @Test
+    void aHolderThatIsCutOffStopsByItselfBeforeAnotherActs() {
+        Sim sim = five();
+        Sim.Node first = holder(sim);
+        first.cut = true;
+        double stopped = sim.until(3, () -> !first.acts("l0"));
+        assertTrue(stopped <= 0.9, stopped + " s");
+        assertTrue(sim.until(3, () -> sim.actor("l0") != null) > 0);
+        assertTrue(first.told.stream().anyMatch(e -> e.what().equals("lapsed")), "and says so");
+    }
+
+    @Test
+    void aHolderThatStoodStillDoesNotActWhenItGoesOn() {
+        Sim sim = five();
+        Sim.Node first = holder(sim);
+        first.stop(true);
+        sim.run(3);
+        assertNotEquals(first.name, sim.actor("l0"));
+        first.stop(false);
+        assertEquals(false, first.acts("l0"));
+        sim.run(1);
+        assertNotEquals(first.name, sim.actor("l0"));
+    }
+
+    @Test
+    void withoutAMajorityOfKeepersNobodyActsAndWithItAgainOneDoes() {
+        Sim sim = five();
+        sim.node(1).kill();
+        sim.node(2).kill();
+        sim.run(3600);
+        assertNull(sim.actor("l0"));
+        Sim.Node third = sim.node(3);
+        assertTrue(third.all.page(third.clock()).contains("no keeper has answered for ") || third.all.page(third.clock())
+                .contains("asks the keepers"), third.all.page(third.clock()));
+        sim.node(1).start();
+        assertTrue(sim.until(10, () -> sim.actor("l0") != null) >= 0);
+    }
+
+    @Test
+    void allKeepersKilledAtOnceComeBackWithWhatTheyKnew() {
+        Sim sim = five();
+        long before = sim.token("l0");
+        for (int i = 1; i <= 5; i++) {
+            sim.node(i).kill();
+        }
+        sim.run(1);
+        for (int i = 1; i <= 5; i++) {
+            sim.node(i).start();
+        }
+        assertTrue(sim.until(10, () -> sim.actor("l0") != null) >= 0);
+        assertEquals(before + 1, sim.token("l0"));
+    }
+
+    @Test
+    void aKeeperWhoseDiskIsLostDoesNotVoteUntilItIsTakenInAgain() {
+        Sim sim = five();
+        Sim.Node lost = sim.node(1);
+        lost.kill();
+        lost.disk = new TreeMap<>();
+        lost.position = 0;
+        lost.start();
+        sim.run(3);
+        assertTrue(lost.told.contains(new Event("", "keeper", 0, "LOST")), lost.told.toString());
+        sim.node(2).kill();
+        sim.run(5);
+        assertNull(sim.actor("l0"), "it is one of two that are there, and does not count");
+        sim.node(2).start();
+        assertTrue(sim.until(10, () -> sim.actor("l0") != null) >= 0);
+        Sim.Node any = sim.node(4);
+        assertNull(any.all.keepers(any.clock(), List.of("d1", "d2", "d3")));
+        assertTrue(sim.until(10, () -> lost.told.contains(new Event("", "keeper", 0, "VOTING")) && lost.told.stream()
+                .anyMatch(e -> e.what().equals("keepers") && e.detail().startsWith("3|"))) >= 0, lost.told.toString());
+        sim.node(2).kill();
+        sim.run(5);
+        assertNotNull(sim.actor("l0"), "now it counts");
+    }
+
+    @Test
+    void aKeeperWithAnOldCopyOfItsDiskDoesNotVote() {
+        Sim sim = five();
+        Sim.Node old = sim.node(1);
+        TreeMap<String, byte[]> copy = new TreeMap<>(old.disk);
+        long position = old.position;
+        old.kill();
+        old.start();
+        sim.run(3);
+        old.kill();
+        old.disk = copy;
+        old.position = position;
+        old.start();
+        sim.run(3);
+        assertEquals("OLD", old.told.stream().filter(e -> e.what().equals("keeper")).reduce((a, b) -> b).orElseThrow().detail());
+    }
+
+    @Test
+    void keepersAreReplacedAndBecomeFiveWhileOneOfThemDies() {
+        Sim sim = five();
+        for (int i : new int[] {4, 5}) {
+            Sim.Node n = sim.node(i);
+            n.kill();
+            n.disk = new TreeMap<>();
+            n.start();
+        }
+        sim.run(2);
+        Sim.Node any = sim.node(5);
+        assertNull(any.all.keepers(any.clock(), List.of("d1", "d2", "d3", "d4", "d5")));
+        sim.run(0.02);
+        sim.node(1).kill();
+        assertTrue(sim.until(20, () -> any.told.stream().anyMatch(e -> e.what().equals("keepers") && e.detail().startsWith("3|"))) >= 0,
+                any.told.toString());
+        sim.node(2).kill();
+        sim.run(5);
+        assertNotNull(sim.actor("l0"), "three of five are a majority");
+        sim.node(3).kill();
+        sim.run(5);
+        assertNull(sim.actor("l0"), "two of five are none");
+    }
+
+    @Test
+    void itGoesToWhomItIsGivenAndRestsWhenItIsHeld() {
+        Sim sim = five();
+        Sim.Node first = holder(sim);
+        Sim.Node other = sim.nodes.values().stream().filter(n -> n != first).findFirst().orElseThrow();
+        assertTrue(sim.node(5).all.give(sim.node(5).clock(), "l0", other.name));
+        assertTrue(sim.until(2, () -> other.acts("l0")) >= 0);
+        assertTrue(sim.node(4).all.rest(sim.node(4).clock(), "l0", Span.ofMillis(20_000)));
+        assertTrue(sim.until(2, () -> sim.actor("l0") == null) >= 0);
+        sim.run(19);
+        assertNull(sim.actor("l0"));
+        assertTrue(sim.until(10, () -> sim.actor("l0") != null) >= 0);
+    }
+
+    @Test
+    void anUnfinishedNoteIsThereForTheNext() {
+        Sim sim = five();
+        Sim.Node first = holder(sim);
+        first.all.note(first.clock(), "l0", "17 of 40");
+        sim.run(0.2);
+        first.kill();
+        assertTrue(sim.until(3, () -> sim.actor("l0") != null) >= 0);
+        assertEquals("17 of 40", holder(sim).all.note("l0"));
+    }
+
+    @Test
+    void manyAreSpreadAndMoveLittleWhenOneComesBack() {
+        Sim sim = new Sim(3, 10, 3, 100).startAll();
+        assertTrue(sim.until(30, () -> sim.leases.stream().allMatch(l -> sim.actor(l) != null)) >= 0);
+        for (Sim.Node n : sim.nodes.values()) {
+            long mine = sim.leases.stream().filter(n::acts).count();
+            assertTrue(mine >= 2 && mine <= 25, n.name + " has " + mine);
+        }
+        sim.node(7).kill();
+        sim.run(5);
+        assertTrue(sim.leases.stream().allMatch(l -> sim.actor(l) != null));
+        long before = sim.takeovers;
+        sim.node(7).start();
+        sim.run(30);
+        assertEquals(before, sim.takeovers, "none moves only because one is back");
+    }
+
+    @Test
+    void twoThatStartInTheSameInstantNeverBothActOverAThousandRounds() {
+        Sim sim = new Sim(5, 5, 3, 1).startAll();
+        for (int round = 0; round < 1000; round++) {
+            String acts = sim.actor("l0");
+            if (acts != null) {
+                Sim.Node n = sim.nodes.get(acts);
+                n.all.end(n.clock());
+                sim.run(0.05);
+                n.kill();
+                n.start();
+            }
+            sim.run(0.25);
+        }
+        assertTrue(sim.takeovers > 700, sim.takeovers + " takeovers");
+    }
+
+    /** Random faults by seed. What is asserted holds after every event; see Sim. */
+    @Test
+    void neverTwoUnderRandomFaults() {
+        long from = Long.getLong("leases.from", 0);
+        long seeds = Long.getLong("leases.seeds", 60);
+        AtomicLong takeovers = new AtomicLong();
+        AtomicLong changes = new AtomicLong();
+        LongStream.range(from, from + seeds).parallel().forEach(seed -> {
+            Sim sim = play(seed);
+            takeovers.addAndGet(sim.takeovers);
+            changes.addAndGet(sim.nodes.values().stream().flatMap(n -> n.told.stream()).filter(e -> e.what().equals("changed")).count());
+        });
+        System.out.println(seeds + " seeds, " + takeovers + " takeovers, " + changes + " changes of keepers");
+        assertTrue(takeovers.get() > 2 * seeds);
+    }
+
+    private static Sim play(long seed) {
+        SplittableRandom chance = new SplittableRandom(seed);
+        int dispatchers = 3 + chance.nextInt(18);
+        int keeping = dispatchers > 5 && chance.nextBoolean() ? 5 : 3;
+        Sim sim = new Sim(seed, dispatchers, keeping, 2);
+        sim.drift();
+        sim.lost = chance.nextInt(3) * 0.1;
+        sim.repeated = chance.nextInt(2) * 0.1;
+        sim.mostMs = chance.nextBoolean() ? 5 : 120;
+        sim.syncMs = chance.nextBoolean() ? 1 : 60;
+        for (Sim.Node n : sim.nodes.values()) {
+            n.disk = n.disk == null && chance.nextInt(3) == 0 ? new TreeMap<>() : n.disk;
+        }
+        sim.startAll();
+        try {
+            sim.run(3);
+            for (int fault = 0; fault < 12; fault++) {
+                Sim.Node n = sim.node(1 + chance.nextInt(dispatchers));
+                double seconds = chance.nextDouble() * 2.5;
+                switch (chance.nextInt(6)) {
+                    case 0 -> {
+                        n.kill();
+                        sim.after(1000 * seconds, () -> {
+                            if (n.all == null) {
+                                n.start();
+                            }
+                        });
+                    }
+                    case 1 -> {
+                        n.stop(true);
+                        sim.after(1000 * seconds, () -> n.stop(false));
+                    }
+                    case 2 -> {
+                        n.cut = true;
+                        sim.after(1000 * seconds, () -> n.cut = false);
+                    }
+                    case 3 -> {
+                        for (Sim.Node each : sim.nodes.values()) {
+                            each.cut = chance.nextBoolean();
+                        }
+                        sim.after(1000 * seconds, () -> sim.nodes.values().forEach(x -> x.cut = false));
+                    }
+                    case 4 -> {
+                        List<String> those = new java.util.ArrayList<>(sim.nodes.values().stream().filter(x -> x.disk != null)
+                                .map(x -> x.name).toList());
+                        while (those.size() > (chance.nextBoolean() ? 3 : 5) || those.size() % 2 == 0) {
+                            those.remove(chance.nextInt(those.size()));
+                        }
+                        if (n.all != null) {
+                            n.all.keepers(n.clock(), those);
+                        }
+                    }
+                    default -> {
+                        if (n.all != null) {
+                            n.all.give(n.clock(), "l0", chance.nextBoolean() ? "*" : "d1");
+                        }
+                    }
+                }
+                sim.run(chance.nextDouble() * 1.5);
+            }
+            sim.nodes.values().forEach(n -> {
+                n.cut = false;
+                n.stop(false);
+                if (n.all == null) {
+                    n.start();
+                }
+            });
+            sim.lost = 0;
+            assertTrue(sim.until(40, () -> sim.actor("l0") != null && sim.actor("l1") != null) >= 0,
+                    "once all is well somebody acts: " + sim.node(1).all.page(sim.node(1).clock()));
+        } catch (AssertionError e) {
+            throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
+        }
+        if (Boolean.getBoolean("leases.talk")) {
+            System.out.println(seed + ": " + dispatchers + " dispatchers, " + sim.events + " events, " + sim.takeovers + " takeovers, "
+                    + sim.lost + " " + sim.mostMs + " " + sim.syncMs);
+        }
+        return sim;
+    }
+}
--- /dev/null
+++ b/src/test/java/rampshift/leases/Sim.java
@@ -0,0 +1,261 @@
+package rampshift.leases;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/** Dispatchers with leases in simulated time: clocks that differ, lost messages, crashes, slow disks, all by a seed. */
+final class Sim {
+    static final Rules RULES = new Rules(Span.ofMillis(1000), 0.05, Span.ofMillis(1L << 40));
+
+    private record Due(long at, long number, Runnable what) { }
+
+    final Map<String, Node> nodes = new TreeMap<>();
+    final SplittableRandom chance;
+    final List<String> leases;
+    private final List<String> keepers = new ArrayList<>();
+    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
+            : Long.compare(a.number, b.number));
+    private final Map<String, Long> acted = new TreeMap<>();        // the highest token under which anybody acted, by lease
+    private final Map<String, String> actor = new TreeMap<>();
+    private long now;
+    private long numbers;
+    private long lives;
+    double lost;
+    double repeated;
+    double mostMs = 5;
+    double syncMs = 1;
+    long takeovers;             // changes of who acts
+    long events;
+
+    /** One process after another under one name. */
+    final class Node implements Leases.Out {
+        final String name;
+        final List<Event> told = new ArrayList<>();
+        TreeMap<String, byte[]> disk;       // null: it keeps nothing
+        long position;
+        double rate = 1;
+        Leases all;
+        boolean cut;
+        private final List<Object[]> unsynced = new ArrayList<>();
+        private final List<Runnable> waiting = new ArrayList<>();
+        private boolean syncing;
+        private boolean stopped;
+        private long process;
+        private long wakes;
+
+        Node(String name) {
+            this.name = name;
+        }
+
+        Moment clock() {
+            return new Moment(1_000_000_000L + Math.round(now * rate));
+        }
+
+        void start() {
+            long life = ++lives;
+            process = life;
+            stopped = false;
+            waiting.clear();
+            unsynced.clear();
+            syncing = false;
+            wakes++;
+            all = new Leases(new Leases.Start(name, life, keepers, leases, RULES, life), this);
+            all.start(clock(), disk, position, 1000 + life);
+            List<String> there = nodes.values().stream().filter(n -> n.all != null).map(n -> n.name).toList();
+            nodes.values().stream().filter(n -> n.all != null).forEach(n -> n.all.there(there));
+        }
+
+        /** With what its disk has by now. */
+        void kill() {
+            all = null;
+            process = -1;
+        }
+
+        void stop(boolean on) {
+            stopped = on;
+            if (!on) {
+                List<Runnable> some = List.copyOf(waiting);
+                waiting.clear();
+                some.forEach(this::run);
+            }
+        }
+
+        private void run(Runnable what) {
+            if (stopped) {
+                waiting.add(what);
+            } else if (all != null) {
+                what.run();
+                check(this);
+            }
+        }
+
+        @Override
+        public void send(String to, byte[] message) {
+            Node other = nodes.get(to);
+            int copies = chance.nextDouble() < repeated ? 2 : 1;
+            for (int i = 0; other != null && i < copies; i++) {
+                if (other == this || chance.nextDouble() >= lost && cut == other.cut) {
+                    after(chance.nextDouble() * mostMs, () -> other.run(() -> other.all.message(other.clock(), name, message)));
+                }
+            }
+        }
+
+        @Override
+        public void put(String key, byte[] record) {
+            unsynced.add(new Object[] {key, record});
+            sync();
+        }
+
+        @Override
+        public void sendOnceSynced(String to, byte[] message) {
+            unsynced.add(new Object[] {to, message, true});
+            sync();
+        }
+
+        private void sync() {
+            if (syncing) {
+                return;
+            }
+            syncing = true;
+            long of = process;
+            after(syncMs * (0.5 + chance.nextDouble()), () -> {
+                if (process != of) {
+                    return;         // it died before
+                }
+                syncing = false;
+                List<Object[]> batch = List.copyOf(unsynced);
+                unsynced.clear();
+                for (Object[] one : batch) {
+                    if (one.length == 2) {
+                        disk.put((String) one[0], (byte[]) one[1]);
+                        position++;
+                    }
+                }
+                run(() -> {
+                    all.synced(position);
+                    for (Object[] one : batch) {
+                        if (one.length == 3) {
+                            send((String) one[0], (byte[]) one[1]);
+                        }
+                    }
+                });
+            });
+        }
+
+        @Override
+        public void wakeAt(Moment when) {
+            long wake = ++wakes;
+            long of = process;
+            at(Math.max(now, (long) Math.ceil((when.micros() - 1_000_000_000L) / rate) + 1), () -> {
+                if (wake == wakes && process == of) {
+                    run(() -> all.woken(clock()));
+                }
+            });
+        }
+
+        @Override
+        public void tell(Event event) {
+            told.add(event);
+        }
+
+        boolean acts(String lease) {
+            return all != null && all.mayAct(lease, clock()).longerThan(Span.ZERO);
+        }
+    }
+
+    Sim(long seed, int dispatchers, int keeping, int leases) {
+        chance = new SplittableRandom(seed);
+        this.leases = java.util.stream.IntStream.range(0, leases).mapToObj(i -> "l" + i).toList();
+        for (int i = 1; i <= dispatchers; i++) {
+            Node n = new Node("d" + i);
+            nodes.put(n.name, n);
+            if (i <= keeping) {
+                n.disk = new TreeMap<>();
+                keepers.add(n.name);
+            }
+        }
+    }
+
+    Sim startAll() {
+        nodes.values().forEach(Node::start);
+        return this;
+    }
+
+    Node node(int number) {
+        return nodes.get("d" + number);
+    }
+
+    /** Clocks drawn within the bound. */
+    void drift() {
+        nodes.values().forEach(n -> n.rate = 1 + RULES.drift() * (2 * chance.nextDouble() - 1));
+    }
+
+    void after(double ms, Runnable what) {
+        at(now + Math.round(ms * 1000), what);
+    }
+
+    private void at(long when, Runnable what) {
+        due.add(new Due(when, ++numbers, what));
+    }
+
+    Sim run(double seconds) {
+        long end = now + Math.round(seconds * 1e6);
+        while (!due.isEmpty() && due.peek().at <= end) {
+            Due next = due.poll();
+            now = next.at;
+            next.what.run();
+            events++;
+        }
+        now = end;
+        return this;
+    }
+
+    double until(double most, java.util.function.BooleanSupplier so) {
+        long from = now;
+        while (!so.getAsBoolean()) {
+            if ((now - from) / 1e6 >= most) {
+                return -1;
+            }
+            run(0.01);
+        }
+        return (now - from) / 1e6;
+    }
+
+    /** After whatever a node did: under what it may act nobody else may, and nobody ever did with a higher token. */
+    private void check(Node n) {
+        for (String lease : n.all == null ? List.<String>of() : leases) {
+            if (!n.acts(lease)) {
+                continue;
+            }
+            String last = actor.get(lease);
+            if (last != null && !last.equals(n.name) && nodes.get(last).acts(lease)) {
+                throw new AssertionError(now + ": " + last + " and " + n.name + " may act under " + lease);
+            }
+            long token = n.all.token(lease);
+            long before = acted.getOrDefault(lease, 0L);
+            if (token < before || token == before && !n.name.equals(last)) {
+                throw new AssertionError(now + ": " + n.name + " acts under " + lease + " with token " + token + " after " + before
+                        + " of " + last);
+            }
+            if (token > before) {
+                takeovers++;
+                acted.put(lease, token);
+                actor.put(lease, n.name);
+            }
+        }
+    }
+
+    String actor(String lease) {
+        return nodes.values().stream().filter(n -> n.acts(lease)).map(n -> n.name).findFirst().orElse(null);
+    }
+
+    long token(String lease) {
+        return acted.getOrDefault(lease, 0L);
+    }
+}
