Duties under leases, a taker that checks tokens, and a judge of what is done under them

Change: [[duty]]: the holder hands tasks in at its own door, asks the lease as the first byte is written, sends the token along, and nothing outlasts what is left of the lease; the register says what may be out before it is. Stand-ins refuse lower tokens; judge: order of effects, rising tokens, once where it must. Stand-ins no longer count a send as late for their own standing still (58 ms on a full machine). A killed dispatcher is unreachable until it is up again.

--- a/src/main/java/rampshift/Main.java
+++ b/src/main/java/rampshift/Main.java
@@ -32,6 +32,7 @@
               members    ask the dispatcher of an operator's file (--operator FILE) whom it knows of its fleet
               leases     ask it who holds the fleet's leases, or tell it: give NAME [TO], hold NAME TIME,
                          keepers NAME,NAME,...
+              duties     ask it how far the fleet's duties have come
               counters   ask the dispatcher of that file what it has taken in, sent and answered
               rehearse   start without a configuration, warm up and stop: for the archive of loaded classes
               drill      play the simulator's wire on standard input and output
@@ -91,7 +92,7 @@
         String command = line.getArgList().get(0);
         return switch (command) {
             case "drill" -> Drill.run(System.in, out, err);
-            case "serve", "check", "counters", "members", "leases" -> configured(line.getArgList(),
+            case "serve", "check", "counters", "members", "leases", "duties" -> configured(line.getArgList(),
                     line.getOptionValue("operator", environment.get("RAMPSHIFT_OPERATOR")), environment, out, err);
             case "rehearse" -> rehearse();
             case "version" -> version(out);
@@ -112,8 +113,8 @@
             Signal.handle(new Signal("HUP"), s -> hangups.release());
         }
         try {
-            if (command.equals("members")) {
-                out.print(SideJars.operator("members", named(operator)));
+            if (command.equals("members") || command.equals("duties")) {
+                out.print(SideJars.operator(command, named(operator)));
                 return 0;
             }
             if (command.equals("leases")) {
--- /dev/null
+++ b/src/main/java/rampshift/duties/host/DutiesHost.java
@@ -0,0 +1,212 @@
+package rampshift.duties.host;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
+import org.xnio.XnioIoThread;
+import rampshift.connections.Connection;
+import rampshift.connections.Dialer;
+import rampshift.connections.Head;
+import rampshift.connections.Heard;
+import rampshift.duties.Duty;
+import rampshift.duties.Plan;
+import rampshift.duties.Progress;
+import rampshift.leases.host.LeasesHost;
+import rampshift.time.Clock;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * Hands the tasks of duties in at the dispatcher's own door, as any client would. The lease is asked for at the last
+ * moment, as the first byte is written; the token goes with each task, and no task outlasts what is left of the lease.
+ */
+public final class DutiesHost {
+    private static final Span LOOK = Span.ofMillis(20);
+    private static final Span DIAL = Span.ofMillis(1000);
+    private static final double SAFE = 0.8;             // of what is left of the lease a task may take
+
+    private final LeasesHost leases;
+    private final XnioIoThread thread;
+    private final Dialer dialer;
+    private final Clock clock;
+    private final InetSocketAddress door;
+    private final List<Duty> duties = new ArrayList<>();
+    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    private XnioExecutor.Key timer;
+    private boolean ended;
+
+    /** Door: where this dispatcher takes tasks. */
+    public DutiesHost(List<Plan> plans, LeasesHost leases, XnioIoThread thread, Clock clock, InetSocketAddress door) {
+        this.leases = leases;
+        this.thread = thread;
+        this.clock = clock;
+        this.door = door;
+        dialer = new Dialer(thread);
+        for (Plan plan : plans) {
+            duties.add(new Duty(plan, leases.term(), new Handing(plan)));
+        }
+        look();
+    }
+
+    private void look() {
+        if (ended) {
+            return;
+        }
+        long wall = System.currentTimeMillis() * 1000;
+        for (Duty duty : duties) {
+            String lease = duty.plan().name();
+            boolean held = leases.mayAct(lease).longerThan(Span.ZERO);
+            duty.look(clock.now(), wall / duty.plan().every().micros(), held ? leases.token(lease) : 0, leases.note(lease));
+        }
+        timer = thread.executeAfter(this::look, LOOK.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    /** A page for people. */
+    public String page() {
+        StringBuilder text = new StringBuilder();
+        for (Duty duty : duties) {
+            Plan plan = duty.plan();
+            Progress p = Progress.of(leases.note(plan.name()));
+            text.append(String.format("  %-24s run %d %s, %d of %d settled, %d may be out, held %s%n", plan.name(), p.run(),
+                    p.over() ? "over" : "under way", p.from(), plan.objects(), p.to() - p.from(),
+                    leases.mayAct(plan.name()).longerThan(Span.ZERO) ? "here" : "elsewhere or by nobody"));
+        }
+        return text.toString();
+    }
+
+    public void end() {
+        ended = true;
+        if (timer != null) {
+            timer.remove();
+        }
+        idle.forEach(Connection::close);
+    }
+
+    private Duty of(Plan plan) {
+        return duties.stream().filter(d -> d.plan() == plan).findFirst().orElseThrow();
+    }
+
+    /** What one duty hands in. */
+    private final class Handing implements Duty.Out {
+        private final Plan plan;
+
+        Handing(Plan plan) {
+            this.plan = plan;
+        }
+
+        @Override
+        public void hand(int object, String id, String txn) {
+            new Task(plan, object, id, txn).start();
+        }
+
+        @Override
+        public void note(String text) {
+            leases.note(plan.name(), text);
+        }
+
+        @Override
+        public void tell(String what, long run, int object) {
+            leases.write("duty-" + what, plan.name(), leases.token(plan.name()), run + "/" + object);
+        }
+    }
+
+    /** One task at the door, from its dial to its answer. */
+    private final class Task implements Heard, Dialer.Dialed {
+        private final Plan plan;
+        private final int object;
+        private final String id;
+        private final String txn;
+        private final long token;
+        private Connection connection;
+        private int status;
+        private Span comeBack = Span.ofMillis(200);
+        private boolean written;
+
+        Task(Plan plan, int object, String id, String txn) {
+            this.plan = plan;
+            this.object = object;
+            this.id = id;
+            this.txn = txn;
+            token = leases.token(plan.name());
+        }
+
+        void start() {
+            for (connection = idle.poll(); connection != null && !connection.usable(); connection = idle.poll()) {
+                connection.close();
+            }
+            if (connection == null) {
+                dialer.dial(door, DIAL, this);
+            } else {
+                connection.exchange(this, message());
+            }
+        }
+
+        @Override
+        public void connected(Connection made) {
+            connection = made;
+            connection.exchange(this, message());
+        }
+
+        @Override
+        public void unreachable(String why) {
+            over(Duty.End.NEVER_RAN);
+        }
+
+        private ByteBuffer message() {
+            Span left = leases.mayAct(plan.name()).times(SAFE).orShorter(plan.patience());
+            byte[] body = plan.body().replace("{object}", String.valueOf(object)).getBytes(StandardCharsets.UTF_8);
+            String head = "POST " + plan.target().replace("{object}", String.valueOf(object)) + " HTTP/1.1\r\nHost: duty\r\nX-Txn: "
+                    + txn + "\r\nX-Lane: " + plan.type() + "\r\nX-Remaining: " + left.orLonger(Span.ofMillis(1)).seconds()
+                    + "\r\nIdempotency-Key: " + id + "\r\nRampshift-Token: " + plan.name() + " " + token + "\r\nContent-Length: "
+                    + body.length + "\r\n\r\n";
+            byte[] first = head.getBytes(StandardCharsets.ISO_8859_1);
+            return ByteBuffer.allocate(first.length + body.length).put(first).put(body).flip();
+        }
+
+        /** The last moment: what was stopped between the asking and here does not act. */
+        @Override
+        public boolean mayWrite() {
+            written = leases.mayAct(plan.name()).longerThan(Span.ZERO) && leases.token(plan.name()) == token;
+            if (!written) {
+                connection.close();
+                thread.execute(() -> over(Duty.End.NEVER_RAN));
+            }
+            return written;
+        }
+
+        @Override
+        public void head(Head head) {
+            status = head.status();
+            String after = head.field("Retry-After");
+            if (after != null && after.matches("\\d{1,6}(\\.\\d{1,6})?")) {
+                comeBack = Span.ofMillis(Double.parseDouble(after) * 1000);
+            }
+        }
+
+        @Override
+        public void ended() {
+            if (connection.usable() && !ended) {
+                idle.push(connection);
+            } else {
+                connection.close();
+            }
+            over(status == 200 ? Duty.End.DONE : status == 503 || status == 429 || status == 400 ? Duty.End.NEVER_RAN
+                    : Duty.End.MAY_HAVE_RUN);
+        }
+
+        @Override
+        public void broken(String why) {
+            over(written ? Duty.End.MAY_HAVE_RUN : Duty.End.NEVER_RAN);
+        }
+
+        private void over(Duty.End end) {
+            Moment now = clock.now();
+            of(plan).ended(now, token, object, end, comeBack);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/rampshift/fleet/judge/Acts.java
@@ -0,0 +1,87 @@
+package rampshift.fleet.judge;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * What was done under leases: effects as workers took them, with the token each came under, held against one another
+ * and against what the dispatchers say of their leases.
+ */
+final class Acts {
+    private final Map<String, Long> highest = new HashMap<>();          // token of an effect, by lease
+    private final Map<String, long[]> lastHeld = new HashMap<>();       // token and dispatcher of the last hold, by lease
+    private final Map<String, Integer> effects = new TreeMap<>();       // of a duty's task
+    private final Map<String, String> effectOf = new HashMap<>();
+    private final Set<String> unsure = new HashSet<>();
+    private final Set<String> done = new HashSet<>();
+    private long takeovers;
+    private long refused;
+
+    /** A line of any ledger, in the order of their times. */
+    void line(long at, String[] f, Judge.Count order, Judge.Count rise) {
+        switch (f[1]) {
+            case "effect" -> {
+                long token = Long.parseLong(f[3]);
+                Long before = highest.get(f[2]);
+                effects.merge(f[6], 1, Integer::sum);
+                effectOf.put(f[6], f[7]);
+                if (before != null && token < before) {
+                    order.breach("an effect of " + f[6] + " under token " + token + " of " + f[2] + " after one under " + before);
+                } else if (before != null && token > before) {
+                    takeovers++;
+                    order.atStake++;
+                }
+                highest.merge(f[2], token, Math::max);
+            }
+            case "refused" -> refused++;
+            case "leases" -> {
+                if (f[3].equals("holds")) {
+                    long token = Long.parseLong(f[5]);
+                    long by = f[2].hashCode();
+                    long[] last = lastHeld.get(f[4]);
+                    rise.atStake++;
+                    if (last != null && (token < last[0] || token == last[0] && by != last[1])) {
+                        rise.breach(f[2] + " holds " + f[4] + " with token " + token + " after " + last[0]);
+                    }
+                    lastHeld.put(f[4], new long[] {token, by});
+                } else if (f[3].equals("duty-unsure")) {
+                    unsure.add(id(f));
+                } else if (f[3].equals("duty-done")) {
+                    done.add(id(f));
+                }
+            }
+            default -> { }
+        }
+    }
+
+    private static String id(String[] f) {
+        return f[4] + "-" + f[6].replace('/', '-');
+    }
+
+    /** A task whose effect must not come twice has one at the most; one that is told as done has one. */
+    void once(Judge.Count rule) {
+        effects.forEach((task, count) -> {
+            if (!effectOf.get(task).equals("idempotent")) {
+                rule.atStake++;
+                if (count > 1) {
+                    rule.breach(task + " took effect " + count + " times");
+                }
+            }
+        });
+        for (String task : done) {
+            rule.atStake++;
+            if (!effects.containsKey(task)) {
+                rule.breach(task + " was told as done, and no worker took it");
+            }
+        }
+    }
+
+    Verdict.Acts figures() {
+        long once = effects.values().stream().filter(c -> c == 1).count();
+        return new Verdict.Acts(takeovers, refused, once, effects.size() - once,
+                unsure.stream().filter(u -> !effects.containsKey(u)).count());
+    }
+}
--- a/src/main/java/rampshift/fleet/judge/Judge.java
+++ b/src/main/java/rampshift/fleet/judge/Judge.java
@@ -49,6 +49,7 @@
         final List<Event> answers = new ArrayList<>();
         Event broken;
         boolean none;
+        boolean ofDuty;     // handed in by a dispatcher under a lease: no client of the run waits for it
         /** What workers wrote of it. */
         final List<Event> took = new ArrayList<>();
         final List<Event> began = new ArrayList<>();
@@ -100,7 +101,11 @@
     private final Count known = new Count("failures known in time");
     private final Count accused = new Count("nobody sound taken for failed");
     private final Count agreed = new Count("all agree after the last fault");
+    private final Count inOrder = new Count("effects under a lease in the order of tokens");
+    private final Count rising = new Count("tokens only rise");
+    private final Count once = new Count("a duty's task takes effect once where it must");
     private final Fellows fellows;
+    private final Acts acts = new Acts();
     private final Map<String, Try> tries = new LinkedHashMap<>();
     private final Map<String, List<Long>> killed = new HashMap<>();
     private final Map<String, List<long[]>> stopped = new HashMap<>();
@@ -137,7 +142,9 @@
         for (Event e : events) {
             gather(e);
             fellows.line(e.at(), e.word(), e.fields());
+            acts.line(e.at(), e.fields(), inOrder, rising);
         }
+        acts.once(once);
         fellows.known(known);
         fellows.accused(accused);
         fellows.agree(agreed);
@@ -148,7 +155,9 @@
         long assignments = tries.values().stream().mapToLong(t -> t.took.size()).sum();
         long reached = tries.values().stream().filter(t -> !t.took.isEmpty()).count();
         return new Verdict(List.of(answered.rule(), after.rule(), twice.rule(), drains.rule(), cold.rule(),
-                made.rule(), known.rule(), accused.rule(), agreed.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from), from, fellows.knownMs, lastSendMs);
+                made.rule(), known.rule(), accused.rule(), agreed.rule(), inOrder.rule(),
+                rising.rule(), once.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from),
+                from, fellows.knownMs, lastSendMs, acts.figures());
     }
 
     private void gather(Event e) {
@@ -162,6 +171,7 @@
                 t.patience = Long.parseLong(e.field(6));
                 t.sent = e.at();
             }
+            case "acted" -> tries.computeIfAbsent(e.field(1), k -> new Try()).ofDuty = true;
             case "answer" -> tries.computeIfAbsent(e.field(1), k -> new Try()).answers.add(e);
             case "broken" -> tries.computeIfAbsent(e.field(1), k -> new Try()).broken = e;
             case "none" -> tries.computeIfAbsent(e.field(1), k -> new Try()).none = true;
@@ -182,7 +192,10 @@
                     spans.get(spans.size() - 1)[1] = Math.min(spans.get(spans.size() - 1)[1], e.at() + COMES_UP);
                 }
             }
-            case "killed" -> killed.computeIfAbsent(e.field(1), k -> new ArrayList<>()).add(e.at());
+            case "killed" -> {
+                killed.computeIfAbsent(e.field(1), k -> new ArrayList<>()).add(e.at());
+                ended.computeIfAbsent(e.field(1), k -> new ArrayList<>()).add(new long[] {e.at(), Long.MAX_VALUE});
+            }
             case "unasked" -> answered.breach("bytes of no task from dispatcher " + e.field(1) + " at " + e.at());
             case "boot" -> cold.atStake += e.field(2).equals("cold") ? 1 : 0;
             case "trouble" -> {
@@ -257,6 +270,9 @@
     }
 
     private void answers(Try t) {
+        if (t.ofDuty) {
+            return;
+        }
         if (t.task == null) {
             answered.breach("a task that no client sent reached a worker or a client: " + what(t));
             return;
@@ -319,7 +335,7 @@
     }
 
     /**
-     * Ended in order, and its successor not up yet: nobody took the task, so nobody owes an answer. A connection that the
+     * Ended in order or killed, and its successor not up yet: nobody took the task, so nobody owes an answer. A connection that the
      * system had taken up for a process which then closed its door is reset; what was sent before the end is owed one.
      */
     private boolean away(Try t, long at) {
--- a/src/main/java/rampshift/fleet/plan/Plan.java
+++ b/src/main/java/rampshift/fleet/plan/Plan.java
@@ -24,6 +24,7 @@
         Network network,
         Dispatchers dispatchers,
         Members members,
+        Leases leases,
         List<Trouble> troubles,
         Trials trials,
         Ladder ladder,
@@ -122,6 +123,15 @@
      */
     public record Members(boolean on, Span period, Span forget, boolean news, Span knownBy, Span agreeBy) { }
 
+    /**
+     * Leases among dispatchers that know each other: the first so many keep them. Checked: workers refuse an effect under
+     * a lower token than they have seen.
+     */
+    public record Leases(int keepers, Span term, double drift, boolean checked, List<Duty> duties) { }
+
+    /** Tasks of a type, so many in a run, handed in by whoever holds the lease of its name. */
+    public record Duty(String name, String type, Span every, int objects, double rate) { }
+
     /** Pairs: one for each seed. Confidence: of the intervals, at least. */
     public record Trials(List<Long> seeds, double confidence, Span settle) { }
 
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -109,7 +109,7 @@
                 machines, types, arrivals(s.section("arrivals"), sites), clients(s.section("clients")),
                 workers(s.section("workers")), cold(s.section("cold")), reports(s.section("reports")),
                 roster(s.section("roster")), network(s.section("network")), dispatchers(s.section("dispatchers")),
-                members(s.section("members"), s.has("members")),
+                members(s.section("members"), s.has("members")), leases(s, types),
                 troubles(s, sites), trials(s.section("experiment")), ladder(s.section("ladder")),
                 arms(s));
         if (!plan.length().longerThan(plan.clients().warmUp())) {
@@ -243,6 +243,24 @@
         return m;
     }
 
+    private static Plan.Leases leases(Section s, List<Plan.Type> types) {
+        Section l = s.section("leases");
+        List<Plan.Duty> duties = new ArrayList<>();
+        for (Section d : s.sections("duty")) {
+            Plan.Duty duty = new Plan.Duty(d.name("name"), d.name("type"), d.span("every", Span.ofMillis(5000)),
+                    d.whole("objects", 1, MOST, 10), d.number("rate", 0.1, 10_000, 10));
+            if (types.stream().noneMatch(t -> t.name().equals(duty.type()))) {
+                d.fault("type", "is \"" + duty.type() + "\", which no [[type]] is named");
+            }
+            d.end();
+            duties.add(duty);
+        }
+        Plan.Leases leases = new Plan.Leases(l.whole("keepers", 1, 7, 3), l.span("term", Span.ofMillis(2000)),
+                l.number("drift", 0, 0.3, 0.01), l.flag("checked", true), duties);
+        l.end();
+        return leases;
+    }
+
     private static String siteName(Section s, List<Plan.Site> sites) {
         String name = s.text("site", "");
         if (!name.isEmpty() && sites.stream().noneMatch(x -> x.name().equals(name))) {
--- a/src/main/java/rampshift/fleet/trial/Configurations.java
+++ b/src/main/java/rampshift/fleet/trial/Configurations.java
@@ -71,7 +71,37 @@
                 reach.append("[[members.reach]]\nname = \"" + name(other) + "\"\naddress = " + at + "\n");
             }
         }
-        Files.writeString(operatorFile(folder, dispatcher), text.append("]\n").append(reach).toString());
+        text.append("]\n").append(reach);
+        if (!plan.leases().duties().isEmpty()) {
+            leases(text, folder, plan, dispatcher);
+        }
+        Files.writeString(operatorFile(folder, dispatcher), text.toString());
+    }
+
+    private static void leases(StringBuilder text, Path folder, Plan plan, int dispatcher) {
+        Plan.Leases l = plan.leases();
+        List<String> keepers = new ArrayList<>();
+        for (int k = 0; k < Math.min(l.keepers(), plan.dispatcherCount()); k++) {
+            keepers.add('"' + name(k) + '"');
+        }
+        text.append("[leases]\nkeepers = [").append(String.join(", ", keepers)).append("]\nterm = \"")
+                .append(Math.round(l.term().millis())).append("ms\"\ndrift = ").append(l.drift()).append("\nledger = '")
+                .append(folder.resolve("leases-" + name(dispatcher) + ".ledger")).append("'\n");
+        if (dispatcher < l.keepers()) {
+            text.append("directory = '").append(keeps(folder, dispatcher)).append("'\n");
+        }
+        for (Plan.Duty d : l.duties()) {
+            Plan.Type type = plan.types().stream().filter(t -> t.name().equals(d.type())).findFirst().orElseThrow();
+            text.append("[[duty]]\nname = \"").append(d.name()).append("\"\ntype = \"").append(d.type()).append("\"\nevery = \"")
+                    .append(Math.round(d.every().millis())).append("ms\"\nobjects = ").append(d.objects()).append("\nrate = ")
+                    .append(d.rate()).append("\ntarget = \"/api/{object}\"\nbody = \"work=").append(type.work().micros()).append(',')
+                    .append(type.slots()).append(',').append(type.memory()).append(";\"\n");
+        }
+    }
+
+    /** Where a dispatcher keeps registers. */
+    static Path keeps(Path folder, int dispatcher) {
+        return folder.resolve("keeper-" + name(dispatcher));
     }
 
     private static ObjectNode settings(Plan plan, int dispatcher, int site) {
--- a/src/main/java/rampshift/fleet/workers/Fleet.java
+++ b/src/main/java/rampshift/fleet/workers/Fleet.java
@@ -57,6 +57,8 @@
 
     private void open(long seed) throws IOException {
         Fingerprints[] all = fingerprints();
+        Beat beat = new Beat(thread);
+        Tokens tokens = new Tokens(plan.leases().checked());
         int[] siteOf = siteOfDispatchers();
         int cell = 0;
         for (int s = 0; s < plan.sites().size(); s++) {
@@ -75,7 +77,7 @@
                     }
                     inCell++;
                     String uid = site.name() + "-" + group.machine() + "-" + ++number;
-                    StandIn one = new StandIn(uid, s, cell, kind, plan, groups(all, ofSite, ofCell), thread, ledger,
+                    StandIn one = new StandIn(uid, s, cell, kind, plan, groups(all, ofSite, ofCell), tokens, beat, thread, ledger,
                             Chances.of(seed, uid), this::taskCame);
                     UniformRandomProvider chance = Chances.of(seed, "link " + uid);
                     int[] ports = new int[siteOf.length];
--- a/src/main/java/rampshift/fleet/workers/StandIn.java
+++ b/src/main/java/rampshift/fleet/workers/StandIn.java
@@ -29,6 +29,8 @@
     final Reports reports;
     private final Plan plan;
     private final Fingerprints[] groups;
+    private final Tokens tokens;
+    private final Beat beat;
     private final XnioIoThread thread;
     private final Ledger ledger;
     private final UniformRandomProvider chance;
@@ -40,7 +42,7 @@
 
     /** Groups: for each traffic type, what this worker remembers together with others. */
     StandIn(String uid, int site, int cell, Plan.Machine kind, Plan plan, Fingerprints[] groups,
-            XnioIoThread thread, Ledger ledger, UniformRandomProvider chance, Runnable taskCame) {
+            Tokens tokens, Beat beat, XnioIoThread thread, Ledger ledger, UniformRandomProvider chance, Runnable taskCame) {
         this.taskCame = taskCame;
         this.uid = uid;
         this.site = site;
@@ -48,6 +50,8 @@
         this.kind = kind;
         this.plan = plan;
         this.groups = groups;
+        this.tokens = tokens;
+        this.beat = beat;
         this.thread = thread;
         this.ledger = ledger;
         this.chance = chance;
@@ -144,7 +148,13 @@
         Plan.Type type = plan.types().get(job.type);
         boolean repeat = type.effect() == Plan.Type.Effect.FINGERPRINTED
                 && groups[job.type].repeat(job.key, type.window(), now);
-        ledger.line(now, repeat ? "dropped" : "began", uid, job.txn, job.key, type.name());
+        if (!repeat && job.lease != null) {
+            repeat = !tokens.take(job.lease, job.token);
+            ledger.line(now, repeat ? "refused" : "effect", job.lease, job.token, uid, job.txn, job.key,
+                    type.effect().name().toLowerCase(java.util.Locale.ROOT));
+        } else {
+            ledger.line(now, repeat ? "dropped" : "began", uid, job.txn, job.key, type.name());
+        }
         Talk talk = talkOf(job);
         if (talk == null) {
             return;
@@ -202,7 +212,7 @@
                 return;
             }
             try {
-                reader.take(bytes, 0, count, line.earliest());
+                reader.take(bytes, 0, count, beat.earliest(line.earliest()));
             } catch (IOException e) {
                 ledger.line(now, "odd", uid, link.dispatcher);
                 line.close();
@@ -254,6 +264,9 @@
             }
             ledger.line(now, "took", uid, link.dispatcher, txn, came.key, plan.types().get(came.type).name(),
                     message.began().micros(), machine.cold() ? "cold" : "warm");
+            if (came.lease != null) {
+                ledger.line(now, "acted", txn);
+            }
             taskCame.run();
             tookAt = now;
             answering = false;
@@ -295,8 +308,10 @@
             String key = message.field("Idempotency-Key");
             try {
                 String[] figures = body.substring(5, end).split(",");
+                String[] under = message.field("Rampshift-Token") == null ? null : message.field("Rampshift-Token").split(" ");
                 return new Job(txn, key == null ? "-" : key, type, new Span(Long.parseLong(figures[0])),
-                        Double.parseDouble(figures[1]), Double.parseDouble(figures[2]));
+                        Double.parseDouble(figures[1]), Double.parseDouble(figures[2]), under == null ? null : under[0],
+                        under == null ? 0 : Long.parseLong(under[1]));
             } catch (NumberFormatException | ArrayIndexOutOfBoundsException e) {
                 return null;
             }
--- a/src/main/java/rampshift/leases/host/LeasesHost.java
+++ b/src/main/java/rampshift/leases/host/LeasesHost.java
@@ -57,6 +57,10 @@
         return leases.mayAct(lease, clock.now());
     }
 
+    public Span term() {
+        return setting.rules().term();
+    }
+
     public long token(String lease) {
         return leases.token(lease);
     }
--- a/src/main/java/rampshift/members/host/Host.java
+++ b/src/main/java/rampshift/members/host/Host.java
@@ -57,6 +57,7 @@
     private final Set<Frame> streams = new LinkedHashSet<>();
     private XnioIoThread thread;
     private Clock clock;
+    private Configuration configuration;
     private Ledger ledger;
     private MulticastMessageChannel datagrams;
     private AcceptingChannel<StreamConnection> accepting;
@@ -80,6 +81,7 @@
             throws IOException {
         this.thread = thread;
         this.clock = clock;
+        this.configuration = configuration;
         InetSocketAddress listen = setting.listen();
         String at = text(listen);
         if (!name.matches("[!-~]{1,40}")) {
@@ -223,6 +225,16 @@
         return thread;
     }
 
+    @Override
+    public Clock clock() {
+        return clock;
+    }
+
+    @Override
+    public Configuration configuration() {
+        return configuration;
+    }
+
     @Override
     public void post(String to, byte[] parcel) {
         if (to.equals(name)) {
--- a/src/main/java/rampshift/members/host/Post.java
+++ b/src/main/java/rampshift/members/host/Post.java
@@ -2,6 +2,8 @@
 
 import java.util.Collection;
 import org.xnio.XnioIoThread;
+import rampshift.settings.Configuration;
+import rampshift.time.Clock;
 
 /** How others than the members use their address: parcels by name, over the same datagrams. All on the I/O thread. */
 public interface Post {
@@ -10,6 +12,10 @@
 
     XnioIoThread thread();
 
+    Clock clock();
+
+    Configuration configuration();
+
     /** Whoever sends and gets parcels. */
     interface Guest {
         void begin(Post post);
--- /dev/null
+++ b/src/main/java/rampshift/operator/FleetWork.java
@@ -0,0 +1,76 @@
+package rampshift.operator;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import rampshift.decide.TrafficType;
+import rampshift.duties.Plan;
+import rampshift.duties.host.DutiesHost;
+import rampshift.leases.host.LeasesHost;
+import rampshift.members.host.Post;
+import rampshift.settings.Configuration;
+import rampshift.settings.Malformed;
+
+/** Leases, and the duties that are done under them. */
+final class FleetWork implements Post.Guest {
+    private final LeasesHost leases;
+    private final List<Plan> duties;
+    private DutiesHost host;
+
+    FleetWork(LeasesHost leases, List<Plan> duties) {
+        this.leases = leases;
+        this.duties = duties;
+    }
+
+    @Override
+    public void begin(Post post) {
+        Configuration c = post.configuration();
+        List<String> types = c.settings.platform().types();
+        List<TrafficType> rows = c.settings.read(c.seed).types;
+        List<Plan> known = new ArrayList<>();
+        for (Plan p : duties) {
+            int type = types.indexOf(p.type());
+            if (type < 0) {
+                throw new Malformed("duty " + p.name() + ": the configuration knows no traffic type \"" + p.type() + "\", only "
+                        + String.join(", ", types));
+            }
+            known.add(new Plan(p.name(), p.type(), p.every(), p.objects(), p.rate(), p.catchUp(), p.target(), p.body(),
+                    rows.get(type).effect() == TrafficType.Effect.IDEMPOTENT, rows.get(type).expiry()));
+        }
+        leases.begin(post);
+        if (!known.isEmpty()) {
+            InetSocketAddress door = c.listen.getAddress().isAnyLocalAddress()
+                    ? new InetSocketAddress("127.0.0.1", c.listen.getPort()) : c.listen;
+            host = new DutiesHost(known, leases, post.thread(), post.clock(), door);
+        }
+    }
+
+    @Override
+    public void parcel(String from, byte[] parcel) {
+        leases.parcel(from, parcel);
+    }
+
+    @Override
+    public void there(Collection<String> names) {
+        leases.there(names);
+    }
+
+    @Override
+    public String asked(String question) {
+        return question.equals("?duties") ? host == null ? "there are no duties\n" : host.page() : leases.asked(question);
+    }
+
+    @Override
+    public void stopping() {
+        leases.stopping();
+    }
+
+    @Override
+    public void end() {
+        if (host != null) {
+            host.end();
+        }
+        leases.end();
+    }
+}
--- a/src/main/java/rampshift/operator/Operator.java
+++ b/src/main/java/rampshift/operator/Operator.java
@@ -20,7 +20,8 @@
         if (read.members() == null) {
             return null;
         }
-        return new Host(read.members(), name, build, read.leases() == null ? null : new LeasesHost(read.leases(), name));
+        return new Host(read.members(), name, build, read.leases() == null ? null
+                : new FleetWork(new LeasesHost(read.leases(), name), read.duties()));
     }
 
     /** What is asked, and told, of leases by the dispatcher of that file: words as on the command line. */
@@ -32,6 +33,15 @@
         return Ask.of(read.members().listen(), "?leases" + question(words));
     }
 
+    /** How far the fleet's duties have come, as text. */
+    public static String duties(String file) throws IOException {
+        OperatorFile read = read(file);
+        if (read.duties().isEmpty()) {
+            throw new Malformed(file + ": has no [[duty]]");
+        }
+        return Ask.of(read.members().listen(), "?duties");
+    }
+
     private static String question(String[] words) {
         String all = String.join(" ", words);
         if (words.length == 0) {
--- a/src/main/java/rampshift/operator/OperatorFile.java
+++ b/src/main/java/rampshift/operator/OperatorFile.java
@@ -4,8 +4,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import rampshift.duties.Plan;
 import rampshift.members.Rules;
 import rampshift.members.host.Setting;
 import rampshift.settings.Configuration;
@@ -15,7 +18,7 @@
 import rampshift.toml.Toml;
 
 /** The operator's file. A section that is not there is off. */
-public record OperatorFile(Setting members, rampshift.leases.host.Setting leases) {
+public record OperatorFile(Setting members, rampshift.leases.host.Setting leases, List<Plan> duties) {
     private static final Span LEAST_PERIOD = Span.ofMillis(20);
     private static final Span LEAST_TERM = Span.ofMillis(200);
     private static final int MOST_KEEPERS = 7;
@@ -29,21 +32,29 @@
         Toml file = Toml.read(name, text);
         Section top = file.top();
         Setting members = top.has("members") ? members(top.section("members")) : null;
-        rampshift.leases.host.Setting leases = top.has("leases") ? leases(top.section("leases")) : null;
+        List<Plan> duties = new ArrayList<>();
+        for (Section one : top.sections("duty")) {
+            duties.add(duty(one));
+        }
+        rampshift.leases.host.Setting leases = top.has("leases") ? leases(top.section("leases"), duties) : null;
+        if (leases == null && !duties.isEmpty()) {
+            top.fault("duty", "needs [leases]: a duty is done by whoever holds the lease of its name");
+        }
         if (leases != null && members == null) {
             top.fault("leases", "needs [members], over whose address its messages go");
         }
         top.end();
         file.sound();
-        return new OperatorFile(members, leases);
+        return new OperatorFile(members, leases, duties);
     }
 
-    private static rampshift.leases.host.Setting leases(Section s) {
+    private static rampshift.leases.host.Setting leases(Section s, List<Plan> duties) {
         List<String> keepers = names(s, "keepers");
         if (keepers.size() % 2 == 0 || keepers.size() > MOST_KEEPERS) {
             s.fault("keepers", "names " + keepers.size() + ", expected 1, 3, 5 or 7: a majority of them has to be there");
         }
-        List<String> leases = names(s, "names");
+        Set<String> leases = new LinkedHashSet<>(s.has("names") || duties.isEmpty() ? names(s, "names") : List.of());
+        duties.forEach(d -> leases.add(d.name()));
         Span term = s.span("term", Span.ofMillis(10_000));
         if (LEAST_TERM.longerThan(term)) {
             s.fault("term", "is under 200 ms");
@@ -53,10 +64,29 @@
         String directory = s.text("directory", "");
         String ledger = s.text("ledger", "");
         s.end();
-        return new rampshift.leases.host.Setting(keepers, leases, new rampshift.leases.Rules(term, drift, balance),
+        return new rampshift.leases.host.Setting(keepers, List.copyOf(leases), new rampshift.leases.Rules(term, drift, balance),
                 directory.isEmpty() ? null : Path.of(directory), ledger.isEmpty() ? null : Path.of(ledger));
     }
 
+    private static Plan duty(Section s) {
+        String name = s.name("name");
+        String type = s.name("type");
+        Span every = s.span("every", Span.ofMillis(86_400_000));
+        if (Span.ofMillis(1000).longerThan(every)) {
+            s.fault("every", "is under a second");
+        }
+        int objects = s.whole("objects", 1, 100_000_000, 1);
+        double rate = s.number("rate", 0.001, 10_000, 10);
+        int catchUp = s.whole("catch_up", 0, 1000, 1);
+        String target = s.text("target", "/{object}");
+        if (!target.matches("/[!-~]*")) {
+            s.fault("target", "is \"" + target + "\", expected a path that begins with a slash");
+        }
+        Plan plan = new Plan(name, type, every, objects, rate, catchUp, target, s.text("body", ""), false, Span.ZERO);
+        s.end();
+        return plan;
+    }
+
     private static List<String> names(Section s, String key) {
         List<String> all = s.texts(key, List.of());
         for (String one : all) {
--- /dev/null
+++ b/src/test/java/rampshift/fleet/trial/DutiesTogetherTest.java
@@ -0,0 +1,150 @@
+package rampshift.fleet.trial;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import rampshift.fleet.judge.Verdict;
+import rampshift.fleet.plan.PlanReader;
+
+/** Five real dispatchers, three or five of which keep leases; a duty each of two kinds; faults; and the judge. */
+class DutiesTogetherTest {
+    @TempDir
+    private Path folder;
+
+    private Outcome play(int seconds, String leases, String troubles) throws Exception {
+        return play(seconds, 3, 60, leases, troubles);
+    }
+
+    /** One: of the five dispatchers, those in the first site. */
+    private Outcome play(int seconds, int one, int objects, String leases, String troubles) throws Exception {
+        String text = """
+                length = "%ds"
+                [[machine]]
+                name = "m"
+                [[site]]
+                name = "one"
+                dispatchers = %d
+                [[site.workers]]
+                machine = "m"
+                count = 3
+                [[site]]
+                name = "two"
+                dispatchers = %d
+                share = 0
+                [[site.workers]]
+                machine = "m"
+                count = 3
+                [[type]]
+                name = "look"
+                work = "10ms"
+                due = "500ms"
+                expiry = "1500ms"
+                [[type]]
+                name = "sale"
+                effect = "side-effecting"
+                work = "10ms"
+                due = "500ms"
+                expiry = "1500ms"
+                [arrivals]
+                rate = 20
+                [experiment]
+                settle = "500ms"
+                [roster]
+                delay = "50ms"
+                [members]
+                period = "100ms"
+                known_by = "4s"
+                agree_by = "3s"
+                [[duty]]
+                name = "sweep"
+                type = "look"
+                every = "2s"
+                objects = %d
+                rate = 50
+                [[duty]]
+                name = "charge"
+                type = "sale"
+                every = "2s"
+                objects = %d
+                rate = 50
+                [leases]
+                term = "1s"
+                %s
+                """.formatted(seconds, one, 5 - one, objects, objects, leases) + troubles;
+        Path file = Files.writeString(folder.resolve("plan.toml"), text);
+        return new Trial(new Children(), PlanReader.read(file), file, null, 1, folder.resolve("run"), l -> { }).play();
+    }
+
+    private static String trouble(String what, String names, double at, double length) {
+        return "[[trouble]]\nwhat = \"%s\"\n%s\nat = \"%.0fms\"\nlength = \"%.0fms\"\n".formatted(what, names, at * 1000, length * 1000);
+    }
+
+    private static String inTurn(String what, double from, double every, double length) {
+        StringBuilder all = new StringBuilder();
+        for (int d = 1; d <= 5; d++) {
+            all.append(trouble(what, "names = [\"d" + d + "\"]", from + every * d, length));
+        }
+        return all.toString();
+    }
+
+    /** What is done under leases; the other rules are asked for in TogetherTest. */
+    private static void kept(Outcome o) {
+        for (Verdict.Rule rule : o.verdict.rules()) {
+            if (rule.name().contains("token") || rule.name().startsWith("a duty")) {
+                assertEquals(0, rule.broken(), rule.name() + ": " + rule.examples());
+                assertTrue(rule.atStake() > 0, rule.name());
+            }
+        }
+    }
+
+    private List<String> told(String what) throws IOException {
+        List<String> lines = new ArrayList<>();
+        for (int d = 1; d <= 5; d++) {
+            for (String line : Files.readAllLines(folder.resolve("run/leases-d" + d + ".ledger"))) {
+                if (line.split(" ")[3].equals(what)) {
+                    lines.add(line);
+                }
+            }
+        }
+        return lines;
+    }
+
+    /** Each in turn for longer than the term, then all keepers at once over lossy ways, with what their disks have. */
+    @Test
+    void whoeverHoldsItStandsStillAndAllKeepersAreKilled() throws Exception {
+        Outcome o = play(18, "", inTurn("dispatcher-stopped", 0, 2, 1.8) + trouble("way-lossy", "names = [\"*=*\"]\nrate = 0.2", 1, 15)
+                + trouble("dispatcher-killed", "names = [\"d1\", \"d2\", \"d3\"]", 13, 1));
+        kept(o);
+        assertTrue(o.verdict.acts().takeovers() >= 2, o.verdict.acts().toString());
+        assertTrue(o.verdict.acts().once() > 200, o.verdict.acts().toString());
+        assertTrue(told("lapsed").size() >= 1, "and it says so when it goes on");
+        assertTrue(told("duty-over").size() >= 4, "runs come to their end");
+    }
+
+    /** What was under way over a cut link comes out of it after another holds the lease: to the workers of site two. */
+    private Outcome late(String checked) throws Exception {
+        return play(9, 5, 100_000, checked, trouble("cut", "site = \"two\"", 3, 4)
+                + trouble("dispatcher-stopped", "names = [\"d2\", \"d4\"]", 3.3, 5));
+    }
+
+    @Test
+    void whatComesLateUnderAnOldTokenIsRefused() throws Exception {
+        Outcome o = late("checked = true");
+        kept(o);
+        assertTrue(o.verdict.acts().refused() >= 1, o.verdict.acts().toString());
+    }
+
+    @Test
+    void withoutTheCheckOfTokensTheJudgeFindsIt() throws Exception {
+        Verdict.Rule order = late("checked = false").verdict.rules().stream().filter(r -> r.name().startsWith("effects under"))
+                .findFirst().orElseThrow();
+        assertTrue(order.broken() >= 1, order.toString());
+    }
+}
