--- a/src/main/java/rampshift/fleet/workers/Beat.java
+++ b/src/main/java/rampshift/fleet/workers/Beat.java
@@ -1,6 +1,7 @@
 package rampshift.fleet.workers;
 
 import java.util.concurrent.TimeUnit;
+import org.xnio.XnioExecutor;
 import org.xnio.XnioIoThread;
 import rampshift.ledger.Stamp;
 import rampshift.time.Moment;
@@ -16,6 +17,7 @@
     private static final Span READS_OFF = Span.ofMillis(20);    // after it went on
 
     private final XnioIoThread thread;
+    private XnioExecutor.Key next;
     private Moment last;
     private Moment stoodFrom;
     private Moment stoodTo;
@@ -27,7 +29,11 @@
 
     private void beat() {
         beat(Stamp.now());
-        thread.executeAfter(this::beat, EVERY.micros(), TimeUnit.MICROSECONDS);
+        next = thread.executeAfter(this::beat, EVERY.micros(), TimeUnit.MICROSECONDS);
+    }
+
+    void stop() {
+        next.remove();
     }
 
     private void beat(Moment now) {
--- a/src/main/java/rampshift/fleet/workers/Fleet.java
+++ b/src/main/java/rampshift/fleet/workers/Fleet.java
@@ -24,6 +24,7 @@
     private final Plan plan;
     private final XnioWorker worker;
     private final XnioIoThread thread;
+    private Beat beat;
     private final Ledger ledger;
     private final List<StandIn> standIns = new ArrayList<>();
     private final List<Agent> agents = new ArrayList<>();
@@ -57,7 +58,7 @@
 
     private void open(long seed) throws IOException {
         Fingerprints[] all = fingerprints();
-        Beat beat = new Beat(thread);
+        beat = new Beat(thread);
         Tokens tokens = new Tokens(plan.leases().checked());
         int[] siteOf = siteOfDispatchers();
         int cell = 0;
@@ -289,6 +290,7 @@
         FutureTask<Void> end = new FutureTask<>(() -> {
             standIns.forEach(StandIn::close);
             agents.forEach(Agent::close);
+            beat.stop();
         }, null);
         thread.execute(end);
         try {
