--- a/src/test/java/rampshift/leases/Sim.java
+++ b/src/test/java/rampshift/leases/Sim.java
@@ -32,6 +32,9 @@
     double syncMs = 1;
     long takeovers;             // changes of who acts
     long events;
+    long messages;
+    long bytes;
+    long syncs;
 
     /** One process after another under one name. */
     final class Node implements Leases.Out {
@@ -98,6 +101,8 @@
         @Override
         public void send(String to, byte[] message) {
             Node other = nodes.get(to);
+            messages++;
+            bytes += message.length;
             int copies = chance.nextDouble() < repeated ? 2 : 1;
             for (int i = 0; other != null && i < copies; i++) {
                 if (other == this || chance.nextDouble() >= lost && cut == other.cut) {
@@ -130,6 +135,7 @@
                 }
                 syncing = false;
                 List<Object[]> batch = List.copyOf(unsynced);
+                syncs += batch.stream().anyMatch(o -> o.length == 2) ? 1 : 0;
                 unsynced.clear();
                 for (Object[] one : batch) {
                     if (one.length == 2) {
