--- a/src/test/java/rampshift/fleet/trial/DutiesTogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/DutiesTogetherTest.java
@@ -8,10 +8,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rampshift.fleet.judge.Verdict;
 import rampshift.fleet.plan.PlanReader;
+import rampshift.operator.Operator;
 
 /** Five real dispatchers, three or five of which keep leases; a duty each of two kinds; faults; and the judge. */
 class DutiesTogetherTest {
@@ -119,6 +121,7 @@
     /** Each in turn for longer than the term, then all keepers at once over lossy ways, with what their disks have. */
     @Test
     void whoeverHoldsItStandsStillAndAllKeepersAreKilled() throws Exception {
+        CompletableFuture<String> page = CompletableFuture.supplyAsync(this::asked);
         Outcome o = play(18, "", inTurn("dispatcher-stopped", 0, 2, 1.8) + trouble("way-lossy", "names = [\"*=*\"]\nrate = 0.2", 1, 15)
                 + trouble("dispatcher-killed", "names = [\"d1\", \"d2\", \"d3\"]", 13, 1));
         kept(o);
@@ -126,6 +129,27 @@
         assertTrue(o.verdict.acts().once() > 200, o.verdict.acts().toString());
         assertTrue(told("lapsed").size() >= 1, "and it says so when it goes on");
         assertTrue(told("duty-over").size() >= 4, "runs come to their end");
+        assertTrue(page.get().matches("(?s)keepers 1 d1:\\S+,d2:\\S+,d3:\\S+.*  sweep +d\\d +token \\d+, version \\d+, stands here for .*"
+                + "  sweep +run \\d+ .* of 60 settled.*"), page.get());
+    }
+
+    /** The page of leases and duties as d5's operator sees it, once somebody holds what there is. */
+    private String asked() {
+        String file = folder.resolve("run/d5.toml").toString();
+        for (int i = 0; i < 300; i++) {
+            try {
+                Thread.sleep(100);
+                String leases = Operator.leases(file, new String[0]);
+                if (leases.matches("(?s).*  sweep +d\\d .*")) {
+                    return leases + Operator.duties(file);
+                }
+            } catch (java.io.IOException | RuntimeException e) {
+                // Not up yet, or stopped.
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+        return "nothing";
     }
 
     /** What was under way over a cut link comes out of it after another holds the lease: to the workers of site two. */
--- a/src/test/java/rampshift/operator/OperatorFileTest.java
+++ b/src/test/java/rampshift/operator/OperatorFileTest.java
@@ -21,6 +21,34 @@
         assertNull(OperatorFile.read("f", "").members(), "what is not named is off");
     }
 
+    @Test
+    void leasesAndDutiesAreReadAndADutyHasALeaseOfItsName() {
+        String members = "[members]\nfleet = \"f\"\nlisten = \"127.0.0.1:7946\"\n";
+        OperatorFile read = OperatorFile.read("f", members + """
+                [leases]
+                keepers = ["d1", "d2", "d3"]
+                names = ["archive"]
+                term = "5s"
+                [[duty]]
+                name = "sweep"
+                type = "rederive"
+                objects = 7
+                """);
+        assertEquals(java.util.List.of("archive", "sweep"), read.leases().names());
+        assertEquals(5000, read.leases().rules().term().millis());
+        assertEquals(7, read.duties().get(0).objects());
+        Fault fault = assertThrows(Fault.class, () -> OperatorFile.read("op.toml", members + """
+                [leases]
+                keepers = ["d1", "d2"]
+                names = ["a,b"]
+                drift = 0.5
+                """));
+        assertEquals("""
+                op.toml:5: leases.keepers names 2, expected 1, 3, 5 or 7: a majority of them has to be there
+                op.toml:6: leases.names holds "a,b", expected names of 1 to 40 letters without blanks, commas, colons, bars
+                op.toml:7: leases.drift is 0.5, expected a number from 0 to 0.3""", fault.getMessage());
+    }
+
     @Test
     void allThatIsWrongIsToldAtOnceWithItsLine() {
         Fault fault = assertThrows(Fault.class, () -> OperatorFile.read("op.toml", """
