Leases: bounds on what strangers can make a keeper remember; questions are checked whole

Need: read again: a question without its words threw on the I/O thread, registers of any name grew without bound, an end in order set no timer for its second try. Change: 4,096 registers and directories; the question's form; one look at the clock for all duties. Measured: 50,000 random and cut messages and 6,000 strange registers move nothing; the lease is held.

--- a/src/main/java/rampshift/duties/host/DutiesHost.java
+++ b/src/main/java/rampshift/duties/host/DutiesHost.java
@@ -36,6 +36,7 @@
     private final Clock clock;
     private final InetSocketAddress door;
     private final List<Duty> duties = new ArrayList<>();
+    private final List<String> names;
     private final ArrayDeque<Connection> idle = new ArrayDeque<>();
     private XnioExecutor.Key timer;
     private boolean ended;
@@ -47,6 +48,7 @@
         this.clock = clock;
         this.door = door;
         dialer = new Dialer(thread);
+        names = plans.stream().map(Plan::name).toList();
         for (Plan plan : plans) {
             duties.add(new Duty(plan, leases.term(), new Handing(plan)));
         }
@@ -58,10 +60,10 @@
             return;
         }
         long wall = System.currentTimeMillis() * 1000;
-        for (Duty duty : duties) {
-            String lease = duty.plan().name();
-            boolean held = leases.mayAct(lease).longerThan(Span.ZERO);
-            duty.look(clock.now(), wall / duty.plan().every().micros(), held ? leases.token(lease) : 0, leases.note(lease));
+        long[] tokens = leases.tokens(names);
+        for (int i = 0; i < tokens.length; i++) {
+            Duty duty = duties.get(i);
+            duty.look(clock.now(), wall / duty.plan().every().micros(), tokens[i], tokens[i] == 0 ? "" : leases.note(names.get(i)));
         }
         timer = thread.executeAfter(this::look, LOOK.micros(), TimeUnit.MICROSECONDS);
     }
--- a/src/main/java/rampshift/leases/Keeper.java
+++ b/src/main/java/rampshift/leases/Keeper.java
@@ -37,6 +37,7 @@
     private static final String KEEPERS = "keepers";
     private static final String SELF = "self";
     private static final String WITNESS = "w ";
+    private static final int MOST = 4096;   // registers, and directories of others, that are remembered
     private static final int FAR = 64;      // records that another may be ahead of what is written down of it here
 
     /** What others saw of a keeper: how often it had been started, and how many records it had then. */
@@ -231,7 +232,7 @@
     private void hello(String from, Message m) {
         Seen known = witnessed.getOrDefault(m.id(), new Seen(0, 0));
         Seen now = new Seen(m.boot(), m.position());
-        if (m.id() != 0 && now.beyond(known)) {
+        if (m.id() != 0 && now.beyond(known) && (witnessed.size() < MOST || witnessed.containsKey(m.id()))) {
             witnessed.put(m.id(), now);
             Seen written = written(m.id());
             if (now.boot > written.boot || now.position >= written.position + FAR) {
@@ -276,6 +277,10 @@
                     keepers));
             return;
         }
+        if (slots.size() >= MOST && !slots.containsKey(m.register())) {
+            out.send(from, Message.answer(Message.Kind.SILENT, m, Ballot.NONE, Ballot.NONE, Value.FREE));
+            return;
+        }
         Slot s = slots.getOrDefault(m.register(), Slot.EMPTY);
         int order = m.ballot().compareTo(s.promised());
         if (m.kind() == Message.Kind.PREPARE) {
--- a/src/main/java/rampshift/leases/Leases.java
+++ b/src/main/java/rampshift/leases/Leases.java
@@ -230,7 +230,9 @@
         leases.values().forEach(l -> {
             asking = l;
             l.giveBack(at, true);
+            settle(l);
         });
+        arm();
     }
 
     // ---------------------------------------------------------------- what is known, and asked for
--- a/src/main/java/rampshift/leases/host/LeasesHost.java
+++ b/src/main/java/rampshift/leases/host/LeasesHost.java
@@ -57,6 +57,12 @@
         return leases.mayAct(lease, clock.now());
     }
 
+    /** The token of each of these that may be acted under now; of the others 0. One look at the clock for all. */
+    public long[] tokens(List<String> names) {
+        Moment now = clock.now();
+        return names.stream().mapToLong(n -> leases.mayAct(n, now).longerThan(Span.ZERO) ? leases.token(n) : 0).toArray();
+    }
+
     public Span term() {
         return setting.rules().term();
     }
@@ -97,10 +103,10 @@
 
     @Override
     public String asked(String question) {
-        String[] words = question.substring(1).split(" ");
-        if (!words[0].equals("leases")) {
+        if (!question.matches("\\?leases( give [!-~]+( [!-~]+)?| hold [!-~]+ \\d{1,16}| keepers [!-~]+)?")) {
             return null;
         }
+        String[] words = question.substring(1).split(" ");
         Moment now = clock.now();
         if (words.length == 1) {
             return leases.page(now);
@@ -109,13 +115,10 @@
         switch (words[1]) {
             case "give" -> known = leases.give(now, words[2], words.length > 3 ? words[3] : "*");
             case "hold" -> known = leases.rest(now, words[2], new Span(Long.parseLong(words[3])));
-            case "keepers" -> {
+            default -> {
                 String why = leases.keepers(now, List.of(words[2].split(",")));
                 return why == null ? "begun; \"rampshift leases\" tells how it stands\n" : "not begun: " + why + "\n";
             }
-            default -> {
-                return null;
-            }
         }
         return known ? "told; \"rampshift leases\" tells what came of it\n" : "there is no lease " + words[2] + "\n";
     }
--- a/src/test/java/rampshift/leases/LeasesTest.java
+++ b/src/test/java/rampshift/leases/LeasesTest.java
@@ -264,6 +264,29 @@
         });
     }
 
+    @Test
+    void whateverComesOverTheWireMovesNothingThatIsNotOurs() {
+        Sim sim = five();
+        SplittableRandom chance = new SplittableRandom(7);
+        byte[] real = Codec.write(Message.accept(1, 1, "l0", new Ballot(9, 9), new Value(3, 3, "d9", 9, 9, 9, "", 0, "note")));
+        Sim.Node keeper = sim.node(1);
+        for (int i = 0; i < 50_000; i++) {
+            byte[] bytes = i % 2 == 0 ? new byte[chance.nextInt(300)] : real.clone();
+            if (i % 2 == 0) {
+                chance.nextBytes(bytes);
+            } else {
+                bytes = java.util.Arrays.copyOf(bytes, chance.nextInt(bytes.length));
+            }
+            keeper.all.message(keeper.clock(), "nobody", bytes);
+        }
+        for (int i = 0; i < 6000; i++) {
+            keeper.all.message(keeper.clock(), "nobody", Codec.write(Message.prepare(i, 1, "strange" + i, new Ballot(1, 1))));
+        }
+        sim.run(5);
+        assertNotNull(sim.actor("l0"));
+        assertTrue(keeper.disk.keySet().stream().filter(k -> k.startsWith("r ")).count() <= 4096, "it remembers no more than that");
+    }
+
     /** Random faults by seed. What is asserted holds after every event; see Sim. */
     @Test
     void neverTwoUnderRandomFaults() {
