--- a/src/main/java/rampshift/duties/Duty.java
+++ b/src/main/java/rampshift/duties/Duty.java
@@ -62,11 +62,11 @@
      * Looked at now and then, and soon after each end.
      *
      * @param now on any clock that only advances
-     * @param wall the number of the run that is due by the wall clock: it decides when, never whether two act
+     * @param due the number of the run that is due, by {@link Plan#due}: it decides when, never whether two act
      * @param heldToken the token, or 0 while the lease is not held
      * @param note what stands in the register
      */
-    public void look(Moment now, long wall, long heldToken, String note) {
+    public void look(Moment now, long due, long heldToken, String note) {
         if (heldToken == 0) {
             holding = false;
             return;
@@ -76,7 +76,7 @@
             takeUp(now, heldToken);
         }
         if (stands.over() && said.equals(stands)) {
-            begin(wall);
+            begin(due);
         }
         if (!stands.equals(said)) {
             return;         // nothing is handed in before a majority knows that it may be
@@ -104,16 +104,16 @@
         }
     }
 
-    private void begin(long wall) {
-        long run = Math.max(stands.run() + 1, wall - plan.catchUp());
-        if (run > wall) {
+    private void begin(long due) {
+        long run = Math.max(stands.run() + 1, due - plan.catchUp());
+        if (run > due) {
             return;
         }
         for (long missed = stands.run() + 1; stands.run() > 0 && missed < run; missed++) {
             out.tell("missed", missed, 0);
         }
         next = 0;
-        say(new Progress(run, 0, Math.min(window(), plan.objects()), false));
+        say(new Progress(run, 0, Math.min(window(), plan.count()), false));
         out.tell("begins", run, 0);
     }
 
@@ -167,8 +167,8 @@
             return;
         }
         int settled = open.isEmpty() ? next : Math.min(next, open.first());
-        int to = Math.min(plan.objects(), settled + window());
-        if (settled >= plan.objects()) {
+        int to = Math.min(plan.count(), settled + window());
+        if (settled >= plan.count()) {
             out.tell("over", stands.run(), 0);
             say(new Progress(stands.run(), settled, settled, true));
         } else if (settled - stands.from() >= Math.max(1, window() / 2) && to > stands.to()) {
--- a/src/main/java/rampshift/duties/host/DutiesHost.java
+++ b/src/main/java/rampshift/duties/host/DutiesHost.java
@@ -63,7 +63,9 @@
         long[] tokens = leases.tokens(names);
         for (int i = 0; i < tokens.length; i++) {
             Duty duty = duties.get(i);
-            duty.look(clock.now(), wall / duty.plan().every().micros(), tokens[i], tokens[i] == 0 ? "" : leases.note(names.get(i)));
+            Plan plan = duty.plan();
+            long due = plan.due(wall, plan.after().isEmpty() ? Progress.NONE : Progress.of(leases.note(plan.after())));
+            duty.look(clock.now(), due, tokens[i], tokens[i] == 0 ? "" : leases.note(names.get(i)));
         }
         timer = thread.executeAfter(this::look, LOOK.micros(), TimeUnit.MICROSECONDS);
     }
@@ -75,7 +77,7 @@
             Plan plan = duty.plan();
             Progress p = Progress.of(leases.note(plan.name()));
             text.append(String.format("  %-24s run %d %s, %d of %d settled, %d may be out, held %s%n", plan.name(), p.run(),
-                    p.over() ? "over" : "under way", p.from(), plan.objects(), p.to() - p.from(),
+                    p.over() ? "over" : "under way", p.from(), plan.objects().size(), p.to() - p.from(),
                     leases.mayAct(plan.name()).longerThan(Span.ZERO) ? "here" : "elsewhere or by nobody"));
         }
         return text.toString();
@@ -161,8 +163,8 @@
 
         private ByteBuffer message() {
             Span left = leases.mayAct(plan.name()).times(SAFE).orShorter(plan.patience());
-            byte[] body = plan.body().replace("{object}", String.valueOf(object)).getBytes(StandardCharsets.UTF_8);
-            String head = "POST " + plan.target().replace("{object}", String.valueOf(object)) + " HTTP/1.1\r\nHost: duty\r\nX-Txn: "
+            byte[] body = plan.body().replace("{object}", plan.objects().get(object)).getBytes(StandardCharsets.UTF_8);
+            String head = "POST " + plan.target().replace("{object}", plan.objects().get(object)) + " HTTP/1.1\r\nHost: duty\r\nX-Txn: "
                     + txn + "\r\nX-Lane: " + plan.type() + "\r\nX-Remaining: " + left.orLonger(Span.ofMillis(1)).seconds()
                     + "\r\nIdempotency-Key: " + id + "\r\nRampshift-Token: " + plan.name() + " " + token + "\r\nContent-Length: "
                     + body.length + "\r\n\r\n";
--- a/src/main/java/rampshift/operator/FleetWork.java
+++ b/src/main/java/rampshift/operator/FleetWork.java
@@ -35,7 +35,7 @@
                 throw new Malformed("duty " + p.name() + ": the configuration knows no traffic type \"" + p.type() + "\", only "
                         + String.join(", ", types));
             }
-            known.add(new Plan(p.name(), p.type(), p.every(), p.objects(), p.rate(), p.catchUp(), p.target(), p.body(),
+            known.add(new Plan(p.name(), p.type(), p.every(), p.at(), p.after(), p.objects(), p.rate(), p.catchUp(), p.target(), p.body(),
                     rows.get(type).effect() == TrafficType.Effect.IDEMPOTENT, rows.get(type).expiry()));
         }
         leases.begin(post);
--- a/src/main/java/rampshift/operator/OperatorFile.java
+++ b/src/main/java/rampshift/operator/OperatorFile.java
@@ -1,6 +1,8 @@
 package rampshift.operator;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -8,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import rampshift.duties.Plan;
 import rampshift.members.Rules;
 import rampshift.members.host.Setting;
@@ -36,6 +39,11 @@
         for (Section one : top.sections("duty")) {
             duties.add(duty(one));
         }
+        for (Plan one : duties) {
+            if (!one.after().isEmpty() && duties.stream().noneMatch(d -> d.name().equals(one.after()) && d != one)) {
+                top.fault("duty", "after = \"" + one.after() + "\" names no other duty");
+            }
+        }
         rampshift.leases.host.Setting leases = top.has("leases") ? leases(top.section("leases"), duties) : null;
         if (leases == null && !duties.isEmpty()) {
             top.fault("duty", "needs [leases]: a duty is done by whoever holds the lease of its name");
@@ -75,18 +83,52 @@
         if (Span.ofMillis(1000).longerThan(every)) {
             s.fault("every", "is under a second");
         }
-        int objects = s.whole("objects", 1, 100_000_000, 1);
+        String time = s.text("at", "00:00");
+        if (!time.matches("([01]\\d|2[0-3]):[0-5]\\d")) {
+            s.fault("at", "is \"" + time + "\", expected a time of the day in UTC, such as \"03:30\"");
+        }
+        long at = time.matches("\\d\\d:\\d\\d")
+                ? (Long.parseLong(time.substring(0, 2)) * 60 + Long.parseLong(time.substring(3))) * 60_000_000L : 0;
+        String after = s.text("after", "");
+        List<String> objects = objects(s);
         double rate = s.number("rate", 0.001, 10_000, 10);
         int catchUp = s.whole("catch_up", 0, 1000, 1);
         String target = s.text("target", "/{object}");
         if (!target.matches("/[!-~]*")) {
             s.fault("target", "is \"" + target + "\", expected a path that begins with a slash");
         }
-        Plan plan = new Plan(name, type, every, objects, rate, catchUp, target, s.text("body", ""), false, Span.ZERO);
+        Plan plan = new Plan(name, type, every, at, after, objects, rate, catchUp, target, s.text("body", ""), false, Span.ZERO);
         s.end();
         return plan;
     }
 
+    /** A range, or the lines of a file: it has to be the same on all machines. */
+    private static List<String> objects(Section s) {
+        String file = s.text("objects_from", "");
+        if (file.isEmpty()) {
+            return IntStream.range(0, s.whole("objects", 1, 10_000_000, 1)).mapToObj(String::valueOf).toList();
+        }
+        if (s.has("objects")) {
+            s.fault("objects", "stands beside objects_from: one of the two");
+        }
+        try {
+            List<String> lines = Files.readAllLines(Path.of(file)).stream().filter(l -> !l.isBlank()).toList();
+            for (String line : lines) {
+                if (!line.matches("[!-~]{1,500}")) {
+                    s.fault("objects_from", "names " + file + ", which holds \"" + line + "\", expected lines without blanks");
+                    break;
+                }
+            }
+            if (lines.isEmpty()) {
+                s.fault("objects_from", "names " + file + ", which is empty");
+            }
+            return lines;
+        } catch (IOException e) {
+            s.fault("objects_from", "names " + file + ", which can't be read");
+            return List.of();
+        }
+    }
+
     private static List<String> names(Section s, String key) {
         List<String> all = s.texts(key, List.of());
         for (String one : all) {
