--- a/src/main/java/rampshift/leases/Lease.java
+++ b/src/main/java/rampshift/leases/Lease.java
@@ -27,6 +27,8 @@
     }
 
     private static final int SIGHTINGS = 6;
+    private static final double NEAR = 3.5;         // steps: whoever would come later looks more rarely,
+    private static final double FAR_LOOKS = 3;      // by this
 
     private final String name;
     private final String self;
@@ -165,7 +167,9 @@
             }
         }
         if (lookAt == null || !now.before(lookAt)) {
-            lookAt = now.plus(rules.lookEvery());
+            Span after = seen == null ? null : around.after(name, seen);
+            boolean far = after != null && after.longerThan(rules.step().times(NEAR));
+            lookAt = now.plus(rules.lookEvery().times(far ? FAR_LOOKS : 1));
         }
     }
 
