--- a/src/main/java/rampshift/fleet/judge/Acts.java
+++ b/src/main/java/rampshift/fleet/judge/Acts.java
@@ -1,7 +1,10 @@
 package rampshift.fleet.judge;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
@@ -11,15 +14,21 @@
  * and against what the dispatchers say of their leases.
  */
 final class Acts {
+    private static final long STAMPS = 2000;        // micros that two processes' stamps of one instant may differ
+
     private final Map<String, Long> highest = new HashMap<>();          // token of an effect, by lease
     private final Map<String, long[]> lastHeld = new HashMap<>();       // token and dispatcher of the last hold, by lease
     private final Map<String, Integer> effects = new TreeMap<>();       // of a duty's task
     private final Map<String, String> effectOf = new HashMap<>();
     private final Set<String> unsure = new HashSet<>();
     private final Set<String> done = new HashSet<>();
+    private final Map<String, List<Change>> changes = new TreeMap<>();      // by register, as their processes knew them
     private long takeovers;
     private long refused;
 
+    /** One change of a register: asked for, known as done, which version, and what it said. */
+    private record Change(long asked, long known, long version, String says) { }
+
     /** A line of any ledger, in the order of their times. */
     void line(long at, String[] f, Judge.Count order, Judge.Count rise) {
         switch (f[1]) {
@@ -38,7 +47,11 @@
             }
             case "refused" -> refused++;
             case "leases" -> {
-                if (f[3].equals("holds")) {
+                if (f[3].equals("done")) {
+                    String[] of = f[6].split("/");
+                    changes.computeIfAbsent(f[4], k -> new ArrayList<>()).add(new Change(at - Long.parseLong(of[1]), at,
+                            Long.parseLong(of[0]), f[5] + " of " + of[2]));
+                } else if (f[3].equals("holds")) {
                     long token = Long.parseLong(f[5]);
                     long by = f[2].hashCode();
                     long[] last = lastHeld.get(f[4]);
@@ -61,6 +74,37 @@
         return f[4] + "-" + f[6].replace('/', '-');
     }
 
+    /**
+     * The changes of each register are those of one: a version says one thing, and what was known as done before another
+     * was asked for comes before it. Versions make the order total, so this is all that there is to be checked.
+     */
+    void oneRegister(Judge.Count rule) {
+        changes.forEach((register, all) -> {
+            Map<Long, String> says = new HashMap<>();
+            for (Change c : all) {
+                String before = says.putIfAbsent(c.version, c.says);
+                if (before != null && !before.equals(c.says)) {
+                    rule.breach(register + " has two values of version " + c.version + ": " + before + " and " + c.says);
+                }
+            }
+            List<Change> byAsked = new ArrayList<>(all);
+            byAsked.sort(Comparator.comparingLong(Change::asked));
+            List<Change> byKnown = new ArrayList<>(all);
+            byKnown.sort(Comparator.comparingLong(Change::known));
+            long highest = 0;
+            int known = 0;
+            for (Change c : byAsked) {
+                for (; byKnown.get(known).known + STAMPS < c.asked; known++) {
+                    highest = Math.max(highest, byKnown.get(known).version);
+                }
+                rule.atStake++;
+                if (c.version < highest) {
+                    rule.breach(register + ": version " + c.version + " was asked for after " + highest + " was known");
+                }
+            }
+        });
+    }
+
     /** A task whose effect must not come twice has one at the most; one that is told as done has one. */
     void once(Judge.Count rule) {
         effects.forEach((task, count) -> {
--- a/src/main/java/rampshift/fleet/judge/Judge.java
+++ b/src/main/java/rampshift/fleet/judge/Judge.java
@@ -103,6 +103,7 @@
     private final Count agreed = new Count("all agree after the last fault");
     private final Count inOrder = new Count("effects under a lease in the order of tokens");
     private final Count rising = new Count("tokens only rise");
+    private final Count oneRegister = new Count("tokens' registers are one each");
     private final Count once = new Count("a duty's task takes effect once where it must");
     private final Fellows fellows;
     private final Acts acts = new Acts();
@@ -145,6 +146,7 @@
             acts.line(e.at(), e.fields(), inOrder, rising);
         }
         acts.once(once);
+        acts.oneRegister(oneRegister);
         fellows.known(known);
         fellows.accused(accused);
         fellows.agree(agreed);
@@ -156,7 +158,7 @@
         long reached = tries.values().stream().filter(t -> !t.took.isEmpty()).count();
         return new Verdict(List.of(answered.rule(), after.rule(), twice.rule(), drains.rule(), cold.rule(),
                 made.rule(), known.rule(), accused.rule(), agreed.rule(), inOrder.rule(),
-                rising.rule(), once.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from),
+                rising.rule(), once.rule(), oneRegister.rule()), tries.size(), assignments, assignments - reached, taken(from), marks(from),
                 from, fellows.knownMs, lastSendMs, acts.figures());
     }
 
--- a/src/main/java/rampshift/leases/Lease.java
+++ b/src/main/java/rampshift/leases/Lease.java
@@ -24,6 +24,9 @@
         double chance();
 
         void tell(String lease, String what, Value value);
+
+        /** A change of this process's, which a majority has; it took so long from its asking. */
+        void done(String lease, Value value, Span took);
     }
 
     private static final int SIGHTINGS = 6;
@@ -259,6 +262,7 @@
         ready = value.of(life) ? new Ready(change.promised(), value, change.epoch()) : null;
         change = null;
         slow = rules.faster(slow);
+        around.done(name, value, now.since(askedAt));
         stands(now, value);
         if (was.kind() == Intent.Kind.TAKE || was.kind() == Intent.Kind.RENEW) {
             if (was.kind() == Intent.Kind.RENEW && was.text() != null && was.text().equals(note)) {
--- a/src/main/java/rampshift/leases/Leases.java
+++ b/src/main/java/rampshift/leases/Leases.java
@@ -30,6 +30,9 @@
         void wakeAt(Moment when);
 
         void tell(Event event);
+
+        /** A change of a register by this process, which a majority has by now: for a history of them. */
+        void done(String register, long version, long token, String holder, Span took);
     }
 
     /**
@@ -433,6 +436,11 @@
         out.tell(new Event(lease, what, value.token(), value.free() ? "-" : value.holder()));
     }
 
+    @Override
+    public void done(String lease, Value value, Span took) {
+        out.done(lease, value.version(), value.token(), value.holder(), took);
+    }
+
     @Override
     public void put(String key, byte[] record) {
         out.put(key, record);
--- a/src/main/java/rampshift/leases/host/LeasesHost.java
+++ b/src/main/java/rampshift/leases/host/LeasesHost.java
@@ -173,6 +173,11 @@
                 Math.max(0, when.since(clock.now()).micros() + 999) / 1000, TimeUnit.MILLISECONDS);
     }
 
+    @Override
+    public void done(String register, long version, long token, String holder, Span took) {
+        write("done", register, token, version + "/" + took.micros() + "/" + (holder.isEmpty() ? "-" : holder));
+    }
+
     @Override
     public void tell(Event event) {
         write(event.what(), event.lease().isEmpty() ? "-" : event.lease(), event.token(), event.detail());
--- a/src/test/java/rampshift/leases/Explorer.java
+++ b/src/test/java/rampshift/leases/Explorer.java
@@ -183,6 +183,11 @@
             return 1;
         }
 
+        @Override
+        public void done(String lease, Value value, Span took) {
+            // Not looked at here.
+        }
+
         @Override
         public void tell(String lease, String what, Value value) {
             // Not looked at here.
--- a/src/test/java/rampshift/leases/Sim.java
+++ b/src/test/java/rampshift/leases/Sim.java
@@ -170,6 +170,11 @@
             });
         }
 
+        @Override
+        public void done(String register, long version, long token, String holder, Span took) {
+            // Sim keeps its own history.
+        }
+
         @Override
         public void tell(Event event) {
             told.add(event);
