--- a/src/test/java/rampshift/fleet/trial/DutiesTogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/DutiesTogetherTest.java
@@ -2,17 +2,16 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rampshift.fleet.trial.Five.names;
+import static rampshift.fleet.trial.Five.trouble;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rampshift.fleet.judge.Verdict;
-import rampshift.fleet.plan.PlanReader;
 import rampshift.operator.Operator;
 
 /** Five real dispatchers, three or five of which keep leases; a duty each of two kinds; faults; and the judge. */
@@ -20,78 +19,17 @@
     @TempDir
     private Path folder;
 
-    private Outcome play(int seconds, String leases, String troubles) throws Exception {
-        return play(seconds, 3, 60, leases, troubles);
+    /** First: of the five dispatchers, those on site one. */
+    private Outcome play(int seconds, int first, int objects, String leases, String troubles) throws Exception {
+        String duty = "[[duty]]\nname = \"%s\"\ntype = \"%s\"\nevery = \"2s\"\nobjects = " + objects + "\nrate = 50\n";
+        return new Five(folder).play(seconds, first, 20, "10ms", Five.sale("10ms") + duty.formatted("sweep", "look")
+                + duty.formatted("charge", "sale") + "[leases]\nterm = \"1s\"\n" + leases + "\n" + troubles);
     }
 
-    /** One: of the five dispatchers, those in the first site. */
-    private Outcome play(int seconds, int one, int objects, String leases, String troubles) throws Exception {
-        String text = """
-                length = "%ds"
-                [[machine]]
-                name = "m"
-                [[site]]
-                name = "one"
-                dispatchers = %d
-                [[site.workers]]
-                machine = "m"
-                count = 3
-                [[site]]
-                name = "two"
-                dispatchers = %d
-                share = 0
-                [[site.workers]]
-                machine = "m"
-                count = 3
-                [[type]]
-                name = "look"
-                work = "10ms"
-                due = "500ms"
-                expiry = "1500ms"
-                [[type]]
-                name = "sale"
-                effect = "side-effecting"
-                work = "10ms"
-                due = "500ms"
-                expiry = "1500ms"
-                [arrivals]
-                rate = 20
-                [experiment]
-                settle = "500ms"
-                [roster]
-                delay = "50ms"
-                [members]
-                period = "100ms"
-                known_by = "4s"
-                agree_by = "3s"
-                [[duty]]
-                name = "sweep"
-                type = "look"
-                every = "2s"
-                objects = %d
-                rate = 50
-                [[duty]]
-                name = "charge"
-                type = "sale"
-                every = "2s"
-                objects = %d
-                rate = 50
-                [leases]
-                term = "1s"
-                %s
-                """.formatted(seconds, one, 5 - one, objects, objects, leases) + troubles;
-        Path file = Files.writeString(folder.resolve("plan.toml"), text);
-        return new Trial(new Children(), PlanReader.read(file), file, null, 1, folder.resolve("run"), l -> { }).play();
-    }
-
-    private static String trouble(String what, String names, double at, double length) {
-        return "[[trouble]]\nwhat = \"%s\"\n%s\nat = \"%.0fms\"\nlength = \"%.0fms\"\n".formatted(what, names, at * 1000, length * 1000);
-    }
-
-    private static String inTurn(String what, double from, double every, double length) {
+    private static String inTurn(String what, double every, double length) {
         StringBuilder all = new StringBuilder();
         for (int d = 1; d <= 5; d++) {
-            all.append(trouble(what, "names = [\"d" + d + "\"]", from + every * d, length));
+            all.append(trouble(what, names("d" + d), every * d, length));
         }
         return all.toString();
     }
@@ -107,23 +45,15 @@
     }
 
     private List<String> told(String what) throws IOException {
-        List<String> lines = new ArrayList<>();
-        for (int d = 1; d <= 5; d++) {
-            for (String line : Files.readAllLines(folder.resolve("run/leases-d" + d + ".ledger"))) {
-                if (line.split(" ")[3].equals(what)) {
-                    lines.add(line);
-                }
-            }
-        }
-        return lines;
+        return new Five(folder).told("leases", what);
     }
 
     /** Each in turn for longer than the term, then all keepers at once over lossy ways, with what their disks have. */
     @Test
     void whoeverHoldsItStandsStillAndAllKeepersAreKilled() throws Exception {
         CompletableFuture<String> page = CompletableFuture.supplyAsync(this::asked);
-        Outcome o = play(18, "", inTurn("dispatcher-stopped", 0, 2, 1.8) + trouble("way-lossy", "names = [\"*=*\"]\nrate = 0.2", 1, 15)
-                + trouble("dispatcher-killed", "names = [\"d1\", \"d2\", \"d3\"]", 13, 1));
+        Outcome o = play(18, 3, 60, "", inTurn("dispatcher-stopped", 2, 1.8) + trouble("way-lossy", names("*=*") + "\nrate = 0.2", 1, 15)
+                + trouble("dispatcher-killed", names("d1", "d2", "d3"), 13, 1));
         kept(o);
         assertTrue(o.verdict.acts().takeovers() >= 2, o.verdict.acts().toString());
         assertTrue(o.verdict.acts().once() > 200, o.verdict.acts().toString());
@@ -155,7 +85,7 @@
     /** What was under way over a cut link comes out of it after another holds the lease: to the workers of site two. */
     private Outcome late(String checked) throws Exception {
         return play(9, 5, 100_000, checked, trouble("cut", "site = \"two\"", 3, 4)
-                + trouble("dispatcher-stopped", "names = [\"d2\", \"d4\"]", 3.3, 5));
+                + trouble("dispatcher-stopped", names("d2", "d4"), 3.3, 5));
     }
 
     @Test
--- a/src/test/java/rampshift/fleet/trial/TogetherTest.java
+++ b/src/test/java/rampshift/fleet/trial/TogetherTest.java
@@ -2,66 +2,24 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rampshift.fleet.trial.Five.names;
+import static rampshift.fleet.trial.Five.trouble;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import rampshift.fleet.judge.Verdict;
-import rampshift.fleet.plan.PlanReader;
 
 /** Five real dispatchers that know each other, faults between them, and the judge. */
 class TogetherTest {
     @TempDir
     private Path folder;
 
-    private Outcome play(int seconds, String members, String troubles) throws Exception {
-        String text = """
-                length = "%ds"
-                [[machine]]
-                name = "m"
-                [[site]]
-                name = "one"
-                dispatchers = 3
-                [[site.workers]]
-                machine = "m"
-                count = 3
-                [[site]]
-                name = "two"
-                dispatchers = 2
-                [[site.workers]]
-                machine = "m"
-                count = 3
-                [[type]]
-                name = "look"
-                work = "20ms"
-                due = "500ms"
-                expiry = "1500ms"
-                [arrivals]
-                rate = 40
-                [experiment]
-                settle = "500ms"
-                [roster]
-                delay = "50ms"
-                [members]
-                period = "100ms"
-                known_by = "4s"
-                agree_by = "3s"
-                %s
-                """.formatted(seconds, members) + troubles;
-        Path file = Files.writeString(folder.resolve("plan.toml"), text);
-        return new Trial(new Children(), PlanReader.read(file), file, null, 1, folder.resolve("run"), l -> { }).play();
-    }
-
-    private static String trouble(String what, String more, double at, double length) {
-        return "[[trouble]]\nwhat = \"%s\"\n%s\nat = \"%.0fms\"\nlength = \"%.0fms\"\n".formatted(what, more, at * 1000, length * 1000);
-    }
-
-    private static String names(String... names) {
-        return "names = [\"" + String.join("\", \"", names) + "\"]";
+    private Outcome play(int seconds, String troubles) throws Exception {
+        return new Five(folder).play(seconds, 3, 40, "20ms", troubles);
     }
 
     private static void kept(Outcome o) {
@@ -78,22 +36,14 @@
     private List<String> told(String by, String what) throws IOException {
         long finish = Files.readAllLines(folder.resolve("run/trial.ledger")).stream().filter(l -> l.endsWith(" finish"))
                 .mapToLong(l -> Long.parseLong(l.split(" ")[0])).findFirst().orElseThrow();
-        List<String> lines = new ArrayList<>();
-        for (int d = 1; d <= 5; d++) {
-            for (String line : Files.readAllLines(folder.resolve("run/members-d" + d + ".ledger"))) {
-                String[] f = line.split(" ");
-                if (Long.parseLong(f[0]) < finish && (by.isEmpty() || f[2].equals(by)) && f[3].equals(what)) {
-                    lines.add(line);
-                }
-            }
-        }
-        return lines;
+        return new Five(folder).told("members", what).stream().filter(line -> Long.parseLong(line.split(" ")[0]) < finish
+                && (by.isEmpty() || line.split(" ")[2].equals(by))).toList();
     }
 
     /** d1 does not reach d2 at all; d5 hears nothing from its list service, d4 only old news: both from the others. */
     @Test
     void oneWayLostMakesNobodyFailAndADrainIsHeardOfFromTheOthers() throws Exception {
-        Outcome o = play(8, "", trouble("way-cut", names("d1>d2"), 0.1, 7.8)
+        Outcome o = play(8, trouble("way-cut", names("d1>d2"), 0.1, 7.8)
                 + trouble("roster-silent", names("d5"), 1, 6.9)
                 + trouble("roster-old", names("d4") + "\ndelay = \"4s\"", 1, 6.9) + trouble("drain", names("one-m-1"), 2, 10));
         kept(o);
@@ -110,7 +60,7 @@
     /** It stands still for longer than it takes to be taken for failed. */
     @Test
     void oneThatIsStoppedRefutesAndSendsNothingLate() throws Exception {
-        Outcome o = play(12, "", trouble("dispatcher-stopped", names("d4"), 1, 6));
+        Outcome o = play(12, trouble("dispatcher-stopped", names("d4"), 1, 6));
         kept(o);
         assertTrue(told("", "failed").stream().filter(l -> l.contains(" failed d4 ")).count() >= 4);
         assertTrue(told("d4", "refuted").size() >= 1);
@@ -121,7 +71,7 @@
     /** A tenth of a core for 5 s: it may be late itself, and talks nobody out of those who are well. */
     @Test
     void oneThatIsStarvedAccusesNobody() throws Exception {
-        Outcome o = play(11, "", trouble("dispatcher-starved", names("d4") + "\nrate = 0.1", 1, 5));
+        Outcome o = play(11, trouble("dispatcher-starved", names("d4") + "\nrate = 0.1", 1, 5));
         kept(o);
         assertEquals(List.of(), told("", "failed").stream().filter(l -> !l.contains(" failed d4 ")).toList());
         assertEquals(20, stake(o, "all agree after the last fault"));
@@ -129,7 +79,7 @@
 
     @Test
     void threeOfFiveAreKilledAtOnceWhileALinkFlapsAndOneForGood() throws Exception {
-        Outcome o = play(14, "", trouble("dispatcher-killed", names("d1", "d2", "d3"), 1, 0.8)
+        Outcome o = play(14, trouble("dispatcher-killed", names("d1", "d2", "d3"), 1, 0.8)
                 + trouble("way-flapping", names("d4=d5") + "\ndelay = \"500ms\"", 0.5, 3)
                 + trouble("dispatcher-killed", names("d2"), 8.5, 30));
         kept(o);
@@ -143,7 +93,7 @@
         for (int d = 1; d <= 5; d++) {
             rolling += trouble("dispatcher-ended", names("d" + d), 9.5 + 0.5 * d, 2.5);
         }
-        Outcome o = play(20, "", trouble("way-cut", "site = \"two\"", 0.5, 5) + trouble("way-cut", names("*=*"), 5.6, 3.8)
+        Outcome o = play(20, trouble("way-cut", "site = \"two\"", 0.5, 5) + trouble("way-cut", names("*=*"), 5.6, 3.8)
                 + trouble("way-lossy", names("*=*") + "\nrate = 0.3", 9.5, 4) + rolling);
         kept(o);
         assertTrue(told("d5", "standing").stream().anyMatch(l -> l.contains("MINOR")), "the smaller part knows that it is");
--- a/src/test/java/rampshift/leases/LeasesTest.java
+++ b/src/test/java/rampshift/leases/LeasesTest.java
@@ -378,7 +378,7 @@
             throw new AssertionError("seed " + seed + ": " + e.getMessage(), e);
         }
         if (Boolean.getBoolean("leases.talk")) {
-            System.out.println(seed + ": " + dispatchers + " dispatchers, " + sim.events + " events, " + sim.takeovers + " takeovers, "
+            System.out.println(seed + ": " + dispatchers + " dispatchers, " + sim.played + " events, " + sim.takeovers + " takeovers, "
                     + sim.lost + " " + sim.mostMs + " " + sim.syncMs);
         }
         return sim;
--- a/src/test/java/rampshift/leases/Sim.java
+++ b/src/test/java/rampshift/leases/Sim.java
@@ -3,35 +3,28 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import rampshift.Events;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** Dispatchers with leases in simulated time: clocks that differ, lost messages, crashes, slow disks, all by a seed. */
-final class Sim {
+final class Sim extends Events {
     static final Rules RULES = new Rules(Span.ofMillis(1000), 0.05, Span.ofMillis(1L << 40));
 
-    private record Due(long at, long number, Runnable what) { }
-
     final Map<String, Node> nodes = new TreeMap<>();
     final SplittableRandom chance;
     final List<String> leases;
     private final List<String> keepers = new ArrayList<>();
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.number, b.number));
     private final Map<String, Long> acted = new TreeMap<>();        // the highest token under which anybody acted, by lease
     private final Map<String, String> actor = new TreeMap<>();
-    private long now;
-    private long numbers;
     private long lives;
     double lost;
     double repeated;
     double mostMs = 5;
     double syncMs = 1;
     long takeovers;             // changes of who acts
-    long events;
     long messages;
     long bytes;
     long syncs;
@@ -163,7 +156,7 @@
         public void wakeAt(Moment when) {
             long wake = ++wakes;
             long of = process;
-            at(Math.max(now, (long) Math.ceil((when.micros() - 1_000_000_000L) / rate) + 1), () -> {
+            due(Math.max(now, (long) Math.ceil((when.micros() - 1_000_000_000L) / rate) + 1), () -> {
                 if (wake == wakes && process == of) {
                     run(() -> all.woken(clock()));
                 }
@@ -213,34 +206,16 @@
     }
 
     void after(double ms, Runnable what) {
-        at(now + Math.round(ms * 1000), what);
-    }
-
-    private void at(long when, Runnable what) {
-        due.add(new Due(when, ++numbers, what));
+        due(now + Math.round(ms * 1000), what);
     }
 
     Sim run(double seconds) {
-        long end = now + Math.round(seconds * 1e6);
-        while (!due.isEmpty() && due.peek().at <= end) {
-            Due next = due.poll();
-            now = next.at;
-            next.what.run();
-            events++;
-        }
-        now = end;
+        go(seconds);
         return this;
     }
 
     double until(double most, java.util.function.BooleanSupplier so) {
-        long from = now;
-        while (!so.getAsBoolean()) {
-            if ((now - from) / 1e6 >= most) {
-                return -1;
-            }
-            run(0.01);
-        }
-        return (now - from) / 1e6;
+        return until(most, 0.01, so);
     }
 
     /** After whatever a node did: under what it may act nobody else may, and nobody ever did with a higher token. */
--- a/src/test/java/rampshift/members/Net.java
+++ b/src/test/java/rampshift/members/Net.java
@@ -4,27 +4,21 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import rampshift.Events;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** A network in simulated time, drawn by a seed, between as many members as a story wants. */
-final class Net {
+final class Net extends Events {
     static final Rules RULES = new Rules(Span.ofMillis(1000), Span.ofMillis(3_600_000));
     private static final double STREAM_AFTER = 2;       // times a datagram's way
 
-    private record Due(long at, long number, Runnable what) { }
-
     final Map<String, Node> nodes = new TreeMap<>();
     final SplittableRandom chance;
-    private final PriorityQueue<Due> due = new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at)
-            : Long.compare(a.number, b.number));
     private final Map<String, Double> lost = new HashMap<>();     // by way, "a>b"
     private final List<String> seeds = new ArrayList<>();
-    private long now;
-    private long numbers;
     double lostEverywhere;
     double repeated;
     int leastMs = 1;
@@ -138,7 +132,7 @@
         @Override
         public void wakeAt(Moment when) {
             long wake = ++wakes;
-            at(Math.max(now, when.micros()), () -> {
+            due(Math.max(now, when.micros()), () -> {
                 if (wake == wakes) {
                     run(() -> roll.woken(moment()));
                 }
@@ -222,38 +216,20 @@
     }
 
     private void after(double micros, Runnable what) {
-        at(now + Math.round(micros), what);
-    }
-
-    private void at(long when, Runnable what) {
-        due.add(new Due(when, ++numbers, what));
+        due(now + Math.round(micros), what);
     }
 
     void at(double seconds, Runnable what) {
-        at(now + Math.round(seconds * 1_000_000), what);
+        due(now + Math.round(seconds * 1_000_000), what);
     }
 
     Net run(double seconds) {
-        long end = now + Math.round(seconds * 1_000_000);
-        while (!due.isEmpty() && due.peek().at <= end) {
-            Due next = due.poll();
-            now = next.at;
-            next.what.run();
-        }
-        now = end;
+        go(seconds);
         return this;
     }
 
-    /** Runs until it is so; the seconds that took, or -1. */
     double until(double most, java.util.function.BooleanSupplier so) {
-        long from = now;
-        while (!so.getAsBoolean()) {
-            if ((now - from) / 1e6 >= most) {
-                return -1;
-            }
-            run(0.1);
-        }
-        return (now - from) / 1e6;
+        return until(most, 0.1, so);
     }
 
     /** Whoever runs sees whoever runs as there, the others as not, and all see the same. */
