--- a/src/test/java/rampshift/leases/ExplorerTest.java
+++ b/src/test/java/rampshift/leases/ExplorerTest.java
@@ -44,8 +44,9 @@
     @Test
     void oneRenewsWhileTheOtherWaitsAndTakes() throws Exception {
         walk(true, new Explorer.Bounds(4, 4, 0, 0, MOST), Explorer.Bug.NONE, null);
-        Explorer e = walk(true, new Explorer.Bounds(6, 6, 0, 0, MOST), Explorer.Bug.NONE, null);
-        assertEquals(2, e.tokens.get(), "it was taken over");
+        walk(true, new Explorer.Bounds(6, 6, 0, 0, MOST), Explorer.Bug.NONE, null);
+        Explorer taken = walk(true, new Explorer.Bounds(6, 3, 0, 0, MOST), Explorer.Bug.NONE, null);
+        assertEquals(2, taken.tokens.get(), "without a renewal it is taken over");
     }
 
     @Test
