Answers of a former process are none, and who keeps nothing is no witness

Attempts were matched by a number that begins anew with each process, so a promise given to a former one could count; a dispatcher without a directory counted as having seen an older start; patience fell below what a slow disk needs. Change: answers count by their ballot too; witnesses by their directory's number; patience fades slowly; what nothing used goes (kinds of messages, slept, id).

--- a/src/main/java/rampshift/leases/Change.java
+++ b/src/main/java/rampshift/leases/Change.java
@@ -124,7 +124,7 @@
         }
         switch (m.kind()) {
             case PROMISED -> {
-                if (taking) {
+                if (taking || !m.ballot().equals(ballot)) {     // numbers begin anew with each process, ballots never
                     return false;
                 }
                 if (m.accepted().compareTo(best) > 0) {
@@ -137,7 +137,7 @@
                 }
             }
             case ACCEPTED -> {
-                if (!taking) {
+                if (!taking || !m.ballot().equals(ballot)) {
                     return false;
                 }
                 answered.add(from);
--- a/src/main/java/rampshift/leases/Keeper.java
+++ b/src/main/java/rampshift/leases/Keeper.java
@@ -116,10 +116,6 @@
         return keepers;
     }
 
-    long id() {
-        return id;
-    }
-
     /** How many records are on disk, as told by what writes them. */
     void synced(long position) {
         this.position = position;
@@ -240,7 +236,8 @@
                 out.put(WITNESS + Long.toHexString(m.id()), longs(now.boot, now.position));
             }
         }
-        out.answer(from, Message.hello(Message.Kind.HELLO_BACK, m.boot(), keepers, id, known.boot, known.position));
+        long told = state == State.OLD ? 0 : id;
+        out.answer(from, Message.hello(Message.Kind.HELLO_BACK, m.boot(), keepers, told, known.boot, known.position));
     }
 
     private Seen written(long of) {
@@ -252,7 +249,7 @@
         if (told != null && told.epoch() > keepers.epoch()) {
             adopt(told);
         }
-        if (told == null && named.contains(from)) {
+        if (told == null && named.contains(from) && m.id() != 0) {
             strangers.put(from, m.id());
         } else {
             strangers.remove(from);
@@ -260,8 +257,8 @@
         if (state == State.ASKING && m.number() == boot) {
             if (new Seen(m.boot(), m.position()).beyond(new Seen(boot, position)) && !registering) {
                 into(State.OLD);
-            } else {
-                asked.add(from);
+            } else if (keepers.has(from, m.id())) {
+                asked.add(from);        // one that keeps nothing, or lost what it kept, is no witness
             }
         }
         step();
--- a/src/main/java/rampshift/leases/Lease.java
+++ b/src/main/java/rampshift/leases/Lease.java
@@ -264,7 +264,7 @@
         Value value = change.value();
         ready = value.of(life) ? new Ready(change.promised(), value, change.epoch()) : null;
         change = null;
-        slow = rules.fitting(now.since(attemptAt));
+        slow = rules.fitting(slow, now.since(attemptAt));
         around.done(name, value, now.since(askedAt));
         stands(now, value);
         if (was.kind() == Intent.Kind.TAKE || was.kind() == Intent.Kind.RENEW) {
--- a/src/main/java/rampshift/leases/Message.java
+++ b/src/main/java/rampshift/leases/Message.java
@@ -21,7 +21,7 @@
         List<String> names, List<Value> values, String text, long id, long boot, long position) {
     enum Kind {
         PREPARE, PROMISED, ACCEPT, ACCEPTED, REFUSED, STALE, BEHIND, SILENT, LOOK, SEEN, ADOPT, ADOPTED, LIST, LISTED, HELLO,
-        HELLO_BACK, WISH, PAGE, PAGED
+        HELLO_BACK
     }
 
     private static Message of(Kind kind, long number, long epoch, String register, Ballot ballot, Ballot accepted, Value value) {
--- a/src/main/java/rampshift/leases/Rules.java
+++ b/src/main/java/rampshift/leases/Rules.java
@@ -15,6 +15,7 @@
     private static final double ATTEMPT = 0.08;
     private static final double ASK = 0.5;
     private static final double SLOWEST = 6;
+    private static final double FADE = 0.95;
     private static final double LOOK = 0.2;
     private static final double STEP = 0.1;
     private static final double BACK_OFF = 0.3;
@@ -38,9 +39,9 @@
         return Math.min(SLOWEST, slow * 2);
     }
 
-    /** After one that was answered in so long: the next may take twice that. */
-    double fitting(Span took) {
-        return Math.max(1, Math.min(SLOWEST, 2 * took.over(term) / ATTEMPT));
+    /** After one that was answered in so long: the next may take twice that, and soon after a slower one as long as that. */
+    double fitting(double slow, Span took) {
+        return Math.max(1, Math.min(SLOWEST, Math.max(slow * FADE, 2 * took.over(term) / ATTEMPT)));
     }
 
     /** One change with all its attempts; the next counts its time anew. */
--- a/src/main/java/rampshift/leases/host/Awake.java
+++ b/src/main/java/rampshift/leases/host/Awake.java
@@ -4,7 +4,6 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import rampshift.time.Moment;
-import rampshift.time.Span;
 
 /**
  * A clock that goes on while the machine sleeps: the running clock of a process stands still then, and a lease would
@@ -42,11 +41,6 @@
         return new Moment(ran + slept);
     }
 
-    /** All that the machine slept since the process's start. */
-    Span slept() {
-        return new Span(slept);
-    }
-
     private long up() {
         try {
             String text = Files.readString(uptime);
--- a/src/main/java/rampshift/leases/host/Disk.java
+++ b/src/main/java/rampshift/leases/host/Disk.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import rampshift.leases.store.Records;
 import rampshift.log.Log;
 
@@ -92,6 +93,8 @@
             dies();
             Log.warn("leases", "keeper", "stops", "why", e.getMessage());
             decides.execute(failed);
+        } catch (RejectedExecutionException e) {
+            // The dispatcher has ended: nobody waits for it any more.
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/rampshift/leases/LeasesTest.java
+++ b/src/test/java/rampshift/leases/LeasesTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** Leases over a simulated network: three keepers among five dispatchers, a term of 1 s, clocks up to 5% off. */
@@ -149,6 +150,41 @@
         assertEquals("OLD", old.told.stream().filter(e -> e.what().equals("keeper")).reduce((a, b) -> b).orElseThrow().detail());
     }
 
+    @Test
+    void anAnswerToAFormerProcessOfTheSameNumberIsNone() {
+        Keepers three = new Keepers(1, List.of(new Keepers.One("d1", 1), new Keepers.One("d2", 2), new Keepers.One("d3", 3)), List.of());
+        Change change = new Change("l", new Intent(Intent.Kind.TAKE, Value.FREE, "d4", 2, 0, 1, 1000, null), 2, 0);
+        List<Message> sent = new java.util.ArrayList<>();
+        change.attempt(three, 3, new Moment(1000), (to, m) -> sent.add(m));
+        for (Ballot of : List.of(new Ballot(1, 1), new Ballot(1, 2))) {
+            Message asked = Message.prepare(3, 1, "l", of);
+            for (String keeper : List.of("d1", "d2")) {
+                change.answer(new Moment(1), keeper, Message.answer(Message.Kind.PROMISED, asked, of, Ballot.NONE, Value.FREE),
+                        (to, m) -> sent.add(m));
+            }
+            assertEquals(of.life() == 2, sent.stream().anyMatch(m -> m.kind() == Message.Kind.ACCEPT));
+        }
+    }
+
+    @Test
+    void oneThatKeepsNothingIsNoWitnessOfAnOldCopy() {
+        Sim sim = five();
+        Sim.Node old = sim.node(1);
+        TreeMap<String, byte[]> copy = new TreeMap<>(old.disk);
+        long position = old.position;
+        old.kill();
+        old.start();
+        sim.run(3);
+        sim.node(3).kill();
+        sim.node(2).all.keepsNoMore(sim.node(2).clock());
+        old.kill();
+        old.disk = copy;
+        old.position = position;
+        old.start();
+        sim.run(5);
+        assertEquals("ASKING", old.told.stream().filter(e -> e.what().equals("keeper")).reduce((a, b) -> b).orElseThrow().detail());
+    }
+
     @Test
     void keepersAreReplacedAndBecomeFiveWhileOneOfThemDies() {
         Sim sim = five();
