A list that comes in pieces, or of a thousand long entries, is read

Read in Watch.call and Answer: one timer spanned a call's whole answer, so that a list on a slow way was dropped after the time that only its first byte may take, and asked for anew for ever; a list over 1 MiB was refused for ever. Silence is judged now by the last bytes that came (late, a part of the grace), for at most 1.5 s more in all, so that an answer that never ends is broken off before its news counts as told; 2 MiB hold 1,024 workers at their longest entries, indented.

--- a/src/main/java/rampshift/connections/Connection.java
+++ b/src/main/java/rampshift/connections/Connection.java
@@ -26,6 +26,7 @@
     private Span hold;
     private Alarm timer;
     private long writtenAt;
+    private long readAt;
     private Span answeredAfter = Span.ZERO;
     private Heard heard;
     private boolean lasting = true;
@@ -132,6 +133,7 @@
         }
         written = true;
         writtenAt = System.nanoTime();
+        readAt = writtenAt;
         heard.written();
     }
 
@@ -179,7 +181,13 @@
         }
     }
 
+    /** How long ago the last bytes were read of the answer that is coming, or its request was written. */
+    public Span quietFor() {
+        return new Span((System.nanoTime() - readAt) / 1000);
+    }
+
     private void took(byte[] bytes, int count) {
+        readAt = System.nanoTime();
         if (answeredAfter == Span.ZERO && written) {
             answeredAfter = new Span((System.nanoTime() - writtenAt) / 1000);
         }
--- a/src/main/java/rampshift/discovery/Watch.java
+++ b/src/main/java/rampshift/discovery/Watch.java
@@ -36,7 +36,10 @@
     private static final double LOOK_SHARE = 0.1;            // of the grace, that what came may lie unread
     private static final Span LEAST = Span.ofMillis(10);
     private static final Span AGAIN = Span.ofMillis(100);    // after a break; 200 ms keep the watch going
-    private static final int LONGEST = 1 << 20;
+    /** Of an answer that comes in pieces, beyond the time until its first: less than the 2 s after which its news counts. */
+    private static final Span PIECES = Span.ofMillis(1500);
+    /** Bytes: 1,024 workers, an entry of a name of 200 and all else that can be long, indented, being under 2 KB. */
+    private static final int LONGEST = 1024 * 2048;
     /** Tries in a row that failed before it is told: one may have lost its answer to a busy start. */
     private static final int FAILURES = 2;
 
@@ -149,16 +152,26 @@
         // Once it has been told that no list is to be had the old one is gone by, and the agent may be back any time.
         Span most = version >= 0 ? wait.plus(late) : failures < FAILURES ? FIRST : late;
         calling = true;
-        timer = Alarm.in(thread, most, this::overdue);
+        Moment end = clock.now().plus(most).plus(PIECES);
+        timer = Alarm.in(thread, most, () -> overdue(end));
         answer = new Answer();
         connection.exchange(answer, ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1)));
     }
 
-    /** The answer may have come and lie unread, where this thread is what is late. */
-    private void overdue() {
+    /**
+     * The answer may have come and lie unread, where this thread is what is late; or be coming in pieces. A long list on a
+     * slow way was dropped and asked for anew, for ever.
+     */
+    private void overdue(Moment end) {
         Answer mine = answer;
         connection.look();
-        if (calling && answer == mine) {
+        if (!calling || answer != mine) {
+            return;
+        }
+        Span left = late.minus(connection.quietFor()).orShorter(end.since(clock.now()));
+        if (left.micros() > 0) {
+            timer = Alarm.notBefore(thread, left, () -> overdue(end));
+        } else {
             retry("no answer");
         }
     }
--- a/src/test/java/rampshift/discovery/WatchTest.java
+++ b/src/test/java/rampshift/discovery/WatchTest.java
@@ -1,6 +1,7 @@
 package rampshift.discovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rampshift.StandIns.list;
 import static rampshift.StandIns.until;
 
@@ -168,4 +169,87 @@
             assertEquals(1, counters.get(Counters.Name.WATCH_BROKEN));
         }
     }
+
+    /** Met by reading: a call's time spanned its whole answer, so a list on a slow way was dropped and asked for anew for ever. */
+    @Test
+    void aListThatComesInPiecesIsReadHoweverLongItTakes() throws Exception {
+        String body = list(true).replace("REV", "7");
+        AtomicInteger asked = new AtomicInteger();
+        try (Peer slow = new Peer((message, line) -> {
+            if (asked.getAndIncrement() == 0) {
+                line.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for (int i = 0; i < body.length(); i++) {
+                    Thread.sleep(25);       // a grace of 2 s, and so 0.6 s for an answer to be late; all of it takes 0.8 s
+                    line.write("1\r\n" + body.charAt(i) + "\r\n");
+                }
+                line.write("0\r\n\r\n");
+            }
+        })) {
+            listen(slow, 2000);
+            until("it is told", () -> !told.isEmpty());
+            assertEquals(List.of(7L), told);
+            assertEquals(0, counters.get(Counters.Name.WATCH_BROKEN));
+        }
+    }
+
+    /** Pieces without end are no list: the next call's answer is waited for in vain no longer than news may be late. */
+    @Test
+    void anAnswerThatNeverEndsIsBrokenOff() throws Exception {
+        AtomicInteger asked = new AtomicInteger();
+        try (Peer odd = new Peer((message, line) -> {
+            if (asked.getAndIncrement() > 0) {
+                String body = list(true).replace("REV", "8");
+                line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                return;
+            }
+            line.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                Thread.sleep(10);
+                line.write("1\r\n \r\n");
+            }
+        })) {
+            long from = System.nanoTime();
+            listen(odd, 2000);
+            until("the next one is told", () -> !told.isEmpty());
+            assertEquals(List.of(8L), told);
+            long ms = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(ms < 6000, "news counts as told after 6 s, and came after " + ms + " ms");
+        }
+    }
+
+    /** Met by reading: a list over 1 MiB was refused for ever. */
+    @Test
+    void aListOfAThousandWorkersWithTheirLongestEntriesIndentedIsRead() throws Exception {
+        StringBuilder body = new StringBuilder("{\n        \"rev\": 7,\n        \"all\": true,\n        \"targets\": [\n");
+        for (int i = 0; i < 1024; i++) {
+            String name = String.format("%04d", i).repeat(50);
+            body.append(i == 0 ? "" : ",\n").append("                {\n");
+            String[] fields = {"\"uid\": \"" + name + '"', "\"endpoint\": \"255.255.255.255:65535\"", "\"az\": \"" + name + '"',
+                "\"model\": \"" + name + '"', "\"pod_group\": 2147483647", "\"state\": \"in_service\"",
+                "\"capacity_hint\": 1.2345678901234567", "\"boot_ms\": 1764640000000"};
+            body.append(" ".repeat(32)).append(String.join(",\n" + " ".repeat(32), fields)).append("\n                }");
+        }
+        body.append("\n        ]\n}\n");
+        assertTrue(body.length() > 1 << 20, "it is over the former bound: " + body.length());
+        try (Peer large = new Peer((message, line) -> {
+            if (!message.first().contains("index=")) {
+                line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+        })) {
+            listen(large, 2000);
+            until("it is told", () -> !told.isEmpty());
+            assertEquals(0, counters.get(Counters.Name.WATCH_BROKEN));
+        }
+    }
+
+    private void listen(Peer at, int grace) throws Exception {
+        on(() -> {
+            watch = new Watch(thread, new Dialer(thread), new Clock(), new InetSocketAddress("127.0.0.1", at.port()),
+                    Span.ofMillis(grace), counters, l -> {
+                        told.add(l.version());
+                        watch.stop();
+                    }, () -> { });
+            watch.start();
+        });
+    }
 }
