Rule 4 shown over a whole fleet of the module, from 3 to 120 dispatchers

Up to 120 instances that share nothing, a third of the workers back cold at the start of a burst of half as much again; counted is all that reaches a cold worker in any 1.5 s, against N + 2 x root of N + 2. The module is untouched.

--- /dev/null
+++ b/src/test/java/rampshift/decide/ColdFleetTest.java
@@ -0,0 +1,265 @@
+package rampshift.decide;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import rampshift.time.Moment;
+import rampshift.time.Span;
+
+/**
+ * Rule 4 over a whole fleet that shares nothing: many instances of the module, one set of workers that queue, run and come
+ * back cold. What is counted is the operators' rule: in no stated time may a cold worker be sent more than it is allowed, N
+ * runs, and what is put down to chance, twice the root of N and 2.
+ */
+class ColdFleetTest {
+    private static final double RUN_MS = 50;
+    private static final int SLOTS = 4;
+    private static final double FROM = 0.12;
+    private static final double COLD_MS = 24_000;
+    private static final double FALL_MS = 1500;
+    private static final double TIP = 4;
+    private static final double LENGTH_MS = 6000;
+
+    private record Event(double at, long order, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Double.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private final List<Machine> machines = new ArrayList<>();
+    private final Random random;
+    private double now = 1_000_000;
+    private long order;
+
+    ColdFleetTest() {
+        random = new Random(1);
+    }
+
+    private void after(double ms, Runnable what) {
+        events.add(new Event(now + ms, order++, what));
+    }
+
+    /** A worker: so many run at once, the rest waits; a cold one runs them slower. */
+    private final class Machine {
+        final long id;
+        final double born;
+        final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+        final ArrayDeque<Double> sent = new ArrayDeque<>();
+        int busy;
+        double worst;
+
+        Machine(long id, double born) {
+            this.id = id;
+            this.born = born;
+        }
+
+        double warmth() {
+            return born == 0 ? 1 : Math.min(1, FROM + (1 - FROM) * (now - born) / COLD_MS);
+        }
+
+        /** All that reaches it counts, also what it turns away or what is called off. */
+        void take(Runnable start) {
+            if (warmth() < 1) {
+                sent.add(now);
+                while (sent.peek() < now - FALL_MS) {
+                    sent.poll();
+                }
+                double n = TIP * warmth() * SLOTS * FALL_MS / RUN_MS;
+                worst = Math.max(worst, sent.size() / (n + 2 * Math.sqrt(n) + 2));
+            }
+            waiting.add(start);
+            next();
+        }
+
+        void next() {
+            while (busy < SLOTS && !waiting.isEmpty()) {
+                busy++;
+                waiting.poll().run();
+            }
+        }
+    }
+
+    private final class Dispatcher implements Decisions {
+        final Choice choice;
+        final List<int[]> sends = new ArrayList<>();
+        long tasks;
+        double wake = Double.MAX_VALUE;
+
+        Dispatcher(long seed) {
+            Settings s = new Settings();
+            s.seed = seed;
+            s.mostAssignments = 3;
+            s.mayCancel = true;
+            s.secondCopies = true;
+            s.tellsStart = true;
+            s.comeBackAdvice = true;
+            s.longestComeBack = Span.ofMillis(2000);
+            s.coldFrom = FROM;
+            s.coldFor = Span.ofMillis(COLD_MS);
+            s.tipMultiple = TIP;
+            for (TrafficType.Effect e : new TrafficType.Effect[] {TrafficType.Effect.IDEMPOTENT, TrafficType.Effect.SIDE_EFFECTING}) {
+                s.types.add(new TrafficType(1, 0, Span.ofMillis(150), 3, Span.ofMillis(3000), e, TrafficType.Group.ALL, Span.ofMillis(1000), null, null));
+            }
+            choice = new Choice(s, Moment.ofMillis(now));
+            list(Choice.List.REMEMBERED, machines);
+        }
+
+        void list(Choice.List as, List<Machine> told) {
+            choice.clock(Moment.ofMillis(now));
+            choice.listBegins(as);
+            for (Machine m : told) {
+                choice.listed(m.id, 0, (int) m.id, 0, Choice.Listed.READY, Moment.ofMillis(m.born), SLOTS);
+            }
+            choice.listEnds();
+            pull();
+        }
+
+        void task() {
+            long id = ++tasks;
+            hear(() -> choice.arrived(id, random.nextInt(4) == 0 ? 1 : 0, 0, Span.ZERO, 1, 0, Span.ofMillis(3000)));
+        }
+
+        private void hear(Runnable input) {
+            choice.clock(Moment.ofMillis(now));
+            input.run();
+            pull();
+        }
+
+        private void pull() {
+            while (choice.next(this)) {
+                continue;
+            }
+        }
+
+        private final java.util.Map<Long, List<boolean[]>> out = new java.util.HashMap<>();
+
+        @Override
+        public void assign(long task, long worker, Span timeout) {
+            Machine m = machines.get((int) worker - 1);
+            List<boolean[]> mine = out.computeIfAbsent(task, t -> new ArrayList<>());
+            int number = mine.size();
+            boolean[] off = {false};
+            mine.add(off);
+            after(0.5, () -> m.take(() -> {
+                if (off[0]) {
+                    m.busy--;
+                    return;
+                }
+                hear(() -> choice.begun(task, number));
+                after(RUN_MS * (0.5 + random.nextDouble()) / m.warmth(), () -> {
+                    m.busy--;
+                    m.next();
+                    if (!off[0]) {
+                        off[0] = true;
+                        hear(() -> {
+                            choice.reported(m.id, SLOTS - m.busy, m.waiting.size(), m.busy, Double.NaN);
+                            choice.ended(task, number, Outcome.FINISHED, true);
+                        });
+                    }
+                });
+            }));
+        }
+
+        @Override
+        public void cancel(long task, int assignment) {
+            out.get(task).get(assignment)[0] = true;
+            after(0, () -> hear(() -> choice.ended(task, assignment, Outcome.CALLED_OFF, false)));
+        }
+
+        @Override
+        public void bounce(long task, Span comeBackAfter) {
+            // Its client is not played: the load is what it is.
+        }
+
+        @Override
+        public void abandon(long task) {
+            // The same.
+        }
+
+        @Override
+        public void probe(long worker) {
+            throw new IllegalStateException("probes are not allowed here");
+        }
+
+        @Override
+        public void subscribe() {
+            // Lists come by themselves.
+        }
+
+        @Override
+        public void wakeAt(Moment when) {
+            wake = when.millis();
+            double mine = wake;
+            after(Math.max(0, mine - now), () -> {
+                if (wake == mine) {
+                    wake = Double.MAX_VALUE;
+                    hear(choice::woken);
+                }
+            });
+        }
+    }
+
+    /**
+     * Warm workers at a load, with a burst of half as much again in the midst; a third of the fleet comes back cold, all at
+     * once, at the burst's start. Most: the part of the traffic that the first dispatcher has.
+     */
+    @ParameterizedTest
+    @CsvSource({"20, 12, 0.6, 0", "30, 12, 0.8, 0", "100, 30, 0.7, 0", "120, 30, 0.8, 0", "30, 12, 0.7, 0.7", "3, 12, 0.7, 0", "120, 12, 0.9, 0"})
+    void noColdWorkerIsSentMoreThanItsPartByAllTogether(int dispatchers, int workers, double load, double most) {
+        int cold = workers / 3;
+        double worst = 0;
+        long toCold = 0, all = 0;
+        for (int seed = 0; seed < 6; seed++) {
+            random.setSeed(seed);
+            events.clear();
+            machines.clear();
+            double from = now;
+            for (int i = 1; i <= workers; i++) {
+                machines.add(new Machine(i, 0));
+            }
+            List<Dispatcher> fleet = new ArrayList<>();
+            for (int i = 0; i < dispatchers; i++) {
+                fleet.add(new Dispatcher(seed * 1000L + i));
+            }
+            double rate = load * workers * SLOTS / RUN_MS;      // tasks a millisecond
+            double back = from + LENGTH_MS / 2;
+            for (double at = from; at < from + LENGTH_MS;) {
+                boolean burst = at > back && at < back + LENGTH_MS / 4;
+                at += -Math.log(1 - random.nextDouble()) / (rate * (burst ? 1.5 : 1));
+                Dispatcher to = fleet.get(random.nextDouble() < most ? 0 : random.nextInt(dispatchers));
+                events.add(new Event(at, order++, to::task));
+            }
+            events.add(new Event(back, order++, () -> {
+                List<Machine> told = new ArrayList<>();
+                for (int i = 0; i < cold; i++) {
+                    machines.set(i, new Machine(i + 1, now));
+                    told.add(machines.get(i));
+                }
+                for (Dispatcher d : fleet) {
+                    d.list(Choice.List.CHANGES, told);
+                }
+            }));
+            while (!events.isEmpty() && events.peek().at < from + LENGTH_MS) {
+                Event e = events.poll();
+                now = Math.max(now, e.at);
+                e.what.run();
+            }
+            for (Machine m : machines.subList(0, cold)) {
+                worst = Math.max(worst, m.worst);
+                toCold += m.sent.size();
+            }
+            all += fleet.stream().mapToLong(d -> d.tasks).sum();
+        }
+        System.out.println(dispatchers + " dispatchers, " + workers + " workers, load " + load + ", most " + most + ": worst " + worst
+                + " of what may be, in the last 1.5 s " + toCold + " to cold ones, of " + all + " tasks");
+        assertTrue(worst <= 1, "a cold worker was sent " + worst + " times what it may be");
+    }
+}
