A crowd of idle clients leaves the sockets their turn, and answers are whole

Checked: CPU at its limit then; XNIO runs all tasks before it looks at a socket, and hands each accepted connection over as one; a profile of 3,000 connections a second has half of the Java time in Door.makeRoom. Ruled out: a broken watch, memory. Lines at fault: Door.accept (takes in all there are, each closing another), Door.makeRoom and mayGo (walk all clients for each), Assignment.mayWrite (reads the list, not the client). Mended: 16 connections a turn are taken in or closed, the rest once the sockets have been looked at (NextTurn, a pipe to itself); clients are kept by how they stand, so that whoever gives way is found at once; the client is read before the first byte and before a last byte that was held. Found by reading and mended with stories: an ending client closed over unread bytes, answers and 100 Continue written in part, the time of a call that waits its turn counted from its turn.

--- a/src/main/java/rampshift/clients/Call.java
+++ b/src/main/java/rampshift/clients/Call.java
@@ -10,6 +10,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Set;
 import org.xnio.IoUtils;
+import rampshift.time.Moment;
+import rampshift.time.Span;
 
 /** One client that waits for its answer: what it sent, and the one place where it is answered. */
 public final class Call {
@@ -18,10 +20,15 @@
             Headers.PROXY_AUTHENTICATE, Headers.PROXY_AUTHORIZATION, Headers.TE, Headers.TRAILER,
             Headers.TRANSFER_ENCODING, Headers.UPGRADE, Headers.CONTENT_LENGTH, Headers.EXPECT);
 
+    private static final Span LOOK_EVERY = Span.ofMillis(20);
+
     private final Door door;
     private final Client client;
     private final HttpServerExchange exchange;
     private final byte[] body;
+    private final Moment wholeAt;
+    /** When its connection was last read since its bytes were: they may have lain in a backlog until after it left. */
+    private Moment lookedAt;
     private Runnable gone;
     private boolean over;
 
@@ -30,6 +37,12 @@
         this.client = client;
         this.exchange = exchange;
         this.body = body;
+        wholeAt = client.wholeAt();
+    }
+
+    /** When its last byte was here, perhaps long before its turn came: the client's time counts from then. */
+    public Moment wholeAt() {
+        return wholeAt;
     }
 
     /** The target as it came, with the query. */
@@ -81,6 +94,7 @@
 
     /** Nothing is due from a client that waits: an end is its leaving, bytes are its next call, for later. */
     private void peek(AbstractServerConnection connection) {
+        lookedAt = door.now();
         try {
             if (over) {
                 client.suspendReads();
@@ -92,6 +106,17 @@
         }
     }
 
+    /**
+     * Whether the client still waits for its answer, by what lies unread: its end may have come while this thread was at
+     * something else. Not read again within a moment, a fifth of the time that an attempt may begin after the close.
+     */
+    public boolean waits() {
+        if (!over && (lookedAt == null || door.now().since(lookedAt).longerThan(LOOK_EVERY))) {
+            peek((AbstractServerConnection) exchange.getConnection());
+        }
+        return !over;
+    }
+
     /** Its connection has ended. */
     void closed() {
         if (!over) {
--- a/src/main/java/rampshift/clients/Client.java
+++ b/src/main/java/rampshift/clients/Client.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
+import java.util.ArrayDeque;
 import org.xnio.StreamConnection;
 import org.xnio.channels.StreamSinkChannel;
 import org.xnio.conduits.AbstractStreamSourceConduit;
@@ -16,7 +17,6 @@
  * is whole and sound is handed on, one at a time. What stalls or cannot be read never gets further.
  */
 final class Client extends AbstractStreamSourceConduit<StreamSourceConduit> {
-    private static final ByteBuffer NOTHING = ByteBuffer.allocate(0);
     /** What a client may send ahead of its turn, beside one whole call. */
     private static final int MOST_AHEAD = CallReader.LARGEST;
     private static final int PIECES = 16;       // read at a time of what must wait or that nobody wants
@@ -26,14 +26,25 @@
     private final CallReader reader = new CallReader();
     /** The call that is handed on to Undertow; null where none is in hand. */
     private ByteBuffer given;
-    /** Bytes that came behind a whole call. */
-    private ByteBuffer behind = NOTHING;
+    /** Bytes that came behind a whole call, and how many they are. */
+    private final ArrayDeque<Piece> behind = new ArrayDeque<>();
+    private int ahead;
+    /** When what is read next may have come, if that is known; when the reader's last byte came, and that of the call in hand. */
+    private Moment cameBy;
+    private Moment readUpTo;
+    private Moment wholeAt;
+    /** A word of ours is being written: no call is handed on before all of it is. */
+    private boolean speaking;
     /** It sent more ahead than is kept: what comes is thrown away, and its connection ends with the answer in hand. */
     private boolean sentAhead;
     /** Nothing more is read as a call: what comes is thrown away until the client has read its answer. */
     private boolean ending;
-    /** Since when it has been as it is: connected, idle, sending a call, ending. */
+    private boolean gone;
+    /** Since when it has been connected, idle, sending a call, or ending: its times count from then. */
     Moment since;
+    /** How its door has it listed, and since when. */
+    Standing listed;
+    Moment listedAt;
     /** When bytes last came while it was ending. */
     Moment lastByte;
     /** Bytes of a body that are kept free for it. */
@@ -46,11 +57,16 @@
     Call call;
     boolean watched;
 
-    Client(Door door, StreamConnection connection, Moment now) {
+    /** Bytes, and when they may have come at the earliest. */
+    private record Piece(ByteBuffer bytes, Moment at) { }
+
+    /** {@code accepted}: what it sends first may have been here since then. */
+    Client(Door door, StreamConnection connection, Moment accepted) {
         super(connection.getSourceChannel().getConduit());
         this.door = door;
         this.connection = connection;
-        since = now;
+        since = door.now();
+        cameBy = accepted;
     }
 
     /** A call is in hand, and its answer not wholly written. */
@@ -62,6 +78,11 @@
         return ending;
     }
 
+    Standing standing() {
+        return gone ? Standing.GONE : busy() ? Standing.BUSY : ending ? Standing.ENDING : reader.begun() ? Standing.SENDING
+                : usual ? Standing.IDLE : known ? Standing.ASKED : Standing.SILENT;
+    }
+
     /** Its connection ends with the answer to the call in hand. */
     boolean endsNext() {
         return ending || sentAhead;
@@ -76,6 +97,15 @@
         return reader.begun();
     }
 
+    /** When the last byte of the call in hand was here, however long it waited for its turn: its time counts from then. */
+    Moment wholeAt() {
+        return wholeAt;
+    }
+
+    void speaks(boolean on) {
+        speaking = on;
+    }
+
     /** The answer to the call in hand is written. */
     void answered(Moment now, boolean last) {
         given = null;
@@ -83,20 +113,22 @@
         if (last) {
             end(now);
         }
+        door.stands(this);
     }
 
     void end(Moment now) {
         ending = true;
         given = null;
-        behind = NOTHING;
+        dropAhead();
         since = now;
         lastByte = now;
+        door.stands(this);
     }
 
     @Override
     public int read(ByteBuffer to) throws IOException {
         if (ending) {
-            return discard();
+            return Math.min(0, readOff());
         }
         if (given == null || !given.hasRemaining()) {
             int end = pull();
@@ -116,27 +148,39 @@
      * whole call lies before it: one that sent its next call and left looked present, and its task was sent on.
      */
     private int pull() throws IOException {
+        int end = -1;
+        try {
+            end = pullOn();
+            return end;
+        } finally {
+            gone = end < 0;
+            door.stands(this);
+        }
+    }
+
+    private int pullOn() throws IOException {
         try {
             while (true) {
                 if (busy() && (sentAhead || reader.whole())) {
                     return readAhead();
                 }
                 boolean before = reader.begun();
-                if (behind.hasRemaining()) {
-                    reader.take(behind);
-                } else if (!reader.whole()) {
+                if (!reader.whole() && behind.isEmpty()) {
                     ByteBuffer scratch = door.scratch();
                     int count = next.read(scratch);
                     if (count <= 0) {
                         return count;
                     }
+                    readUpTo = came();
                     reader.take(scratch.flip());
-                    keep(scratch);
+                    keep(scratch, readUpTo);
+                } else {
+                    takeBehind();
                 }
                 if (!before && known && !busy()) {
                     since = door.now();
                 }
-                if (!door.claim(this, reader.claim())) {
+                if (!door.claim(this, reader.claim() + ahead)) {
                     if (!busy()) {
                         // Hundreds of clients that stall within large bodies would fill the memory.
                         throw new CallReader.Unsound(503, "too many bodies are coming in");
@@ -148,10 +192,14 @@
                     door.goOn(this);
                 }
                 if (reader.whole() && !busy()) {
+                    if (speaking) {
+                        return readAhead();
+                    }
                     given = reader.handOver();
+                    wholeAt = readUpTo;
                     known = true;
-                    door.claim(this, behind.remaining());
-                    reader.take(behind);    // what is no call shows before this one is let through
+                    door.claim(this, ahead);
+                    takeBehind();       // what is no call shows before this one is let through
                     return 0;
                 }
             }
@@ -169,12 +217,11 @@
             if (count <= 0) {
                 return count;
             }
-            int size = behind.remaining() + count;
-            if (!sentAhead && (size > MOST_AHEAD || !door.claim(this, reader.claim() + size))) {
+            if (!sentAhead && (ahead + count > MOST_AHEAD || !door.claim(this, reader.claim() + ahead + count))) {
                 tooMuchAhead();
             }
             if (!sentAhead) {
-                behind = ByteBuffer.allocate(size).put(behind).put(scratch.flip()).flip();
+                keep(scratch.flip(), came());
             }
         }
         return 0;
@@ -182,34 +229,63 @@
 
     private void tooMuchAhead() {
         sentAhead = true;
-        behind = NOTHING;
+        dropAhead();
         reader.handOver();
         door.sentAhead(this);
     }
 
-    private void keep(ByteBuffer rest) {
-        behind = !rest.hasRemaining() ? NOTHING
-                : ByteBuffer.allocate(rest.remaining()).put(rest).flip();
+    private void keep(ByteBuffer rest, Moment at) {
+        if (rest.hasRemaining()) {
+            ahead += rest.remaining();
+            behind.add(new Piece(ByteBuffer.allocate(rest.remaining()).put(rest).flip(), at));
+        }
+    }
+
+    private Moment came() {
+        Moment at = cameBy == null ? door.cameBy() : cameBy;
+        cameBy = null;
+        return at;
     }
 
-    /** Bytes that nobody wants: unread ones would have the close swallow the answer. */
-    private int discard() throws IOException {
+    /** Has the reader take what came, up to the end of a call. */
+    private void takeBehind() throws CallReader.Unsound {
+        while (!reader.whole() && !behind.isEmpty()) {
+            Piece piece = behind.peek();
+            readUpTo = piece.at();
+            int size = piece.bytes().remaining();
+            reader.take(piece.bytes());
+            ahead -= size - piece.bytes().remaining();
+            if (!piece.bytes().hasRemaining()) {
+                behind.poll();
+            }
+        }
+    }
+
+    private void dropAhead() {
+        behind.clear();
+        ahead = 0;
+    }
+
+    /** Reads bytes that nobody wants: unread ones would have the close swallow the answer. How many there were, or -1 at the end. */
+    int readOff() throws IOException {
         int count = next.read(door.scratch());
         if (count > 0) {
             lastByte = door.now();
-            return 0;
+        } else if (count < 0) {
+            gone = true;
+            door.stands(this);
         }
         return count;
     }
 
     /** A further call, or a part of one, has come already. */
     private boolean full() {
-        return reader.whole() || behind.hasRemaining();
+        return reader.whole() || !behind.isEmpty();
     }
 
     /** True if it has gone. */
     boolean gone() throws IOException {
-        return (ending ? discard() : pull()) < 0;
+        return (ending ? readOff() : pull()) < 0;
     }
 
     @Override
@@ -239,7 +315,7 @@
             door.goOn(this);    // its turn has come
         }
         boolean ready = !ending && (given != null && given.hasRemaining()
-                || given == null && full());
+                || given == null && !speaking && full());
         if (ready) {
             next.wakeupReads();
         } else {
--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -12,9 +12,12 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.xnio.ChannelListener;
@@ -25,11 +28,13 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.channels.StreamSinkChannel;
 import rampshift.counters.Counters;
 import rampshift.log.Log;
 import rampshift.time.Alarm;
 import rampshift.time.Clock;
 import rampshift.time.Moment;
+import rampshift.time.NextTurn;
 import rampshift.time.Span;
 
 /** Takes in clients: it owns the listening socket and all connections from them. */
@@ -45,6 +50,8 @@
     private static final Span LONGEST_END = Span.ofMillis(5000);
     private static final Span SWEEP = Span.ofMillis(50);
     private static final int ENDS_READ = 16;                      // pieces at a time of what nobody wants
+    /** Connections taken in or closed before the sockets are looked at again. */
+    private static final int A_TURN = 16;
 
     private final XnioIoThread thread;
     private final Clock clock;
@@ -54,11 +61,18 @@
     private final long mostReceiving;
     private final Span mostIdle;
     private final Intake intake;
+    private final Supplier<Span> unread;
     private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH);
     private final HttpOpenListener http;
     private final Map<String, Supplier<Page>> pages = new HashMap<>();
-    /** All open connections, in the order in which they came. */
-    private final LinkedHashMap<StreamConnection, Client> open = new LinkedHashMap<>();
+    /** All open connections that were taken in. */
+    private final Map<StreamConnection, Client> open = new HashMap<>();
+    /** The same by how they stand, the longest so first. */
+    private final Map<Standing, LinkedHashSet<Client>> standing = new EnumMap<>(Standing.class);
+    /** Those that were accepted, but not taken in yet. */
+    private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
+    private final NextTurn turn;
+    private int thisTurn;
     private AcceptingChannel<StreamConnection> socket;
     private Alarm sweep;
     private long receiving;
@@ -66,6 +80,8 @@
     private Moment lastChange;
     private boolean lastCall;
 
+    private record Arrival(StreamConnection connection, Moment at) { }
+
     /** Who is handed the clients' calls. */
     public interface Intake {
         void taken(Call call);
@@ -77,10 +93,11 @@
     /**
      * Takes so many clients at once, then idle ones make room. Where there are none, so many spare ones are
      * still taken, and their connections end with their answers; the rest waits in the kernel's backlog. It
-     * was closed unheard at first, and a rush of 900 clients lost the tasks of 381.
+     * was closed unheard at first, and a rush of 900 clients lost the tasks of 381. {@code unread}: for how long, at the
+     * most, what is read now may have lain unread.
      */
     public Door(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Counters counters, int most,
-            int spare, long mostReceiving, Span mostIdle, Intake intake) {
+            int spare, long mostReceiving, Span mostIdle, Intake intake, Supplier<Span> unread) throws IOException {
         this.thread = thread;
         this.clock = clock;
         this.counters = counters;
@@ -89,6 +106,11 @@
         this.mostReceiving = mostReceiving;
         this.mostIdle = mostIdle;
         this.intake = intake;
+        this.unread = unread;
+        turn = new NextTurn(thread);
+        for (Standing s : Standing.values()) {
+            standing.put(s, new LinkedHashSet<>());
+        }
         // Undertow reads only what has passed CallReader, whose bounds are the narrower ones.
         http = new HttpOpenListener(buffers, OptionMap.builder()
                 .set(UndertowOptions.MAX_ENTITY_SIZE, (long) CallReader.LARGEST)
@@ -111,62 +133,112 @@
         ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
         socket = worker.createStreamConnectionServer(address, accept, OptionMap.builder()
                 .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
+                // Not one by one: in a rush each close had the accepting thread start and stop once.
                 .set(Options.CONNECTION_HIGH_WATER, most + spare)
-                .set(Options.CONNECTION_LOW_WATER, most + spare - 1)
+                .set(Options.CONNECTION_LOW_WATER, most + spare / 2)
                 .set(Options.BACKLOG, BACKLOG).getMap());
         socket.resumeAccepts();
     }
 
-    /** All that wait are taken at once: what lies in the kernel's backlog counts as taken already. */
+    /**
+     * All that wait are accepted at once: what lies in the kernel's backlog counts as taken already. But only so many are
+     * looked after before the sockets are: a rush of idle clients kept the thread at accepting and closing, tasks and
+     * answers lay unread for over a second, and descriptors that were closed and not given back yet went over the limit.
+     */
     private void accept(AcceptingChannel<StreamConnection> from) {
         try {
             for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
-                accepted(c);
+                lastChange = clock.now();
+                arrivals.add(new Arrival(c, cameBy()));
             }
+            takeArrivals();
         } catch (IOException e) {
             Log.warn("accept", "broke", e.getMessage());
         }
     }
 
+    private void takeArrivals() {
+        while (!arrivals.isEmpty() && mayGoOn()) {
+            Arrival next = arrivals.poll();
+            accepted(next.connection, next.at);
+        }
+    }
+
+    /** Whether one more may be taken in or closed before the sockets are looked at; what is left goes on after that. */
+    private boolean mayGoOn() {
+        if (thisTurn == A_TURN) {
+            return false;
+        }
+        if (thisTurn++ == 0) {
+            turn.run(() -> {
+                thisTurn = 0;
+                if (lastCall) {
+                    lastCall();
+                }
+                takeArrivals();
+            });
+        }
+        return true;
+    }
+
     /** A new client. */
     public void accepted(StreamConnection connection) {
+        accepted(connection, cameBy());
+    }
+
+    /** One that may have sent something since then. */
+    private void accepted(StreamConnection connection, Moment at) {
         counters.add(Counters.Name.CLIENT_CONNECTIONS);
-        lastChange = clock.now();
-        Client client = new Client(this, connection, lastChange);
+        Client client = new Client(this, connection, at);
         connection.getSourceChannel().setConduit(client);
         open.put(connection, client);
+        stands(client);
         makeRoom();
         http.handleEvent(connection);
     }
 
+    /** Keeps it where it belongs, behind those that have stood so for longer. */
+    void stands(Client client) {
+        Standing now = client.standing();
+        if (now != client.listed && open.get(client.connection) == client) {
+            relist(client, now);
+        }
+    }
+
+    private void relist(Client client, Standing as) {
+        if (client.listed != null) {
+            standing.get(client.listed).remove(client);
+        }
+        standing.get(as).add(client);
+        client.listed = as;
+        client.listedAt = clock.now();
+    }
+
+    private void unlist(Client client) {
+        if (open.remove(client.connection) != null) {
+            standing.get(client.listed).remove(client);
+        }
+        lastChange = clock.now();
+        release(client);
+    }
+
     /** More clients than are meant to stay. */
     boolean crowded() {
         return open.size() > most;
     }
 
     /**
-     * First go clients that have had their answer and whose calls were no tasks, then those that have said
-     * nothing whole, the longest here first: hundreds of silent ones held all places while usual clients waited
-     * in the backlog. Usual ones that idle go last: ones that asked for a page and stayed pushed them out.
+     * Lets go whoever gives way first (see Standing), the longest so of them, at no cost that grows with their number.
+     * Hundreds of silent ones held all places while usual clients waited in the backlog, and ones that asked for a page and
+     * stayed pushed usual ones out. Whoever is in the midst of a call goes last: it loses a task, the others nothing.
      */
     private void makeRoom() {
-        if (!crowded()) {
-            return;
-        }
-        open.values().removeIf(c -> !c.connection.isOpen());
-        Moment now = clock.now();
         while (crowded()) {
-            Client least = null;
-            for (Client c : open.values()) {
-                if (mayGo(c, now) && (least == null || rank(c) < rank(least)
-                        || rank(c) == rank(least) && c.since.before(least.since))) {
-                    least = c;
-                }
-            }
+            Client least = least();
             if (least == null) {
                 return;
             }
-            if (!least.ending() && heardMeanwhile(least)) {
+            if (least.listed == Standing.ENDING ? sendsOn(least) : least.listed != Standing.GONE && heardMeanwhile(least)) {
                 continue;
             }
             Log.warn("clients-full", "connections", open.size());
@@ -175,45 +247,95 @@
         }
     }
 
-    private static int rank(Client c) {
-        return c.ending() ? 0 : c.usual ? 3 : c.known ? 1 : 2;
+    private Client least() {
+        for (Standing s : Standing.values()) {
+            Client c = oldest(s);
+            if (c != null && !stay(s).longerThan(clock.now().since(c.listedAt))) {
+                return c;
+            }
+            if (s == Standing.IDLE && full() && oldest(Standing.ENDING) != null) {
+                // A rush of answered ones waited 30 ms each for its place, and usual clients behind it.
+                return oldest(Standing.ENDING);
+            }
+        }
+        return null;
+    }
+
+    private Client oldest(Standing as) {
+        Iterator<Client> in = standing.get(as).iterator();
+        return as != Standing.BUSY && in.hasNext() ? in.next() : null;
+    }
+
+    /** For how long one may stand so, however many others come. */
+    private static Span stay(Standing as) {
+        return switch (as) {
+            case ENDING, SILENT -> NEW;
+            case IDLE, SENDING -> USUAL;
+            default -> Span.ZERO;
+        };
     }
 
-    private static boolean mayGo(Client c, Moment now) {
-        // Answered ones at once: a rush of them waited 30 ms each for its place, and usual clients behind it.
-        return !c.busy() && (rank(c) < 2 || now.since(c.since).longerThan(rank(c) == 3 ? USUAL : NEW));
+    /** The spare places are taken too. */
+    private boolean full() {
+        return open.size() >= most + spare;
+    }
+
+    /** Whether an ending client has gone by itself, or has just sent more and there is still a place for it. */
+    private boolean sendsOn(Client client) {
+        boolean came = readOff(client);
+        if (came && open.containsKey(client.connection)) {
+            relist(client, Standing.ENDING);
+        }
+        return !open.containsKey(client.connection) || came && !full();
     }
 
     /** The one place where a client's connection is given back, but for those that it has ended itself. */
     private void close(Client client) {
-        open.remove(client.connection);
-        lastChange = clock.now();
-        release(client);
+        unlist(client);
         IoUtils.safeClose(client.connection);
     }
 
-    /** Whoever has had its time: silent, stalled within a call, turned away, or long idle. */
+    /** Whoever has had its time: silent, stalled within a call, turned away, or long idle. So many a time as fit into a turn. */
     private void sweep() {
         Moment now = clock.now();
         for (Client c : new ArrayList<>(open.values())) {
-            Span been = now.since(c.since);
-            if (!c.connection.isOpen()) {
-                close(c);
-            } else if (c.busy()) {
-                continue;
-            } else if (c.ending()) {
-                if (been.longerThan(LONGEST_END) || now.since(c.lastByte).longerThan(QUIET_END)) {
+            if (overdue(c, now)) {
+                if (!mayGoOn()) {
+                    break;
+                }
+                letGo(c);
+            }
+        }
+        makeRoom();
+    }
+
+    private boolean overdue(Client c, Moment now) {
+        Span been = now.since(c.since);
+        if (!c.connection.isOpen()) {
+            return true;
+        }
+        return switch (c.listed) {
+            case GONE -> true;
+            case BUSY -> false;
+            case ENDING -> been.longerThan(LONGEST_END) || now.since(c.lastByte).longerThan(QUIET_END);
+            default -> been.longerThan(c.due() ? WHOLE_CALL : c.usual ? mostIdle : NO_TASK);
+        };
+    }
+
+    private void letGo(Client c) {
+        switch (c.listed) {
+            case ENDING -> {
+                if (!readOff(c) || clock.now().since(c.since).longerThan(LONGEST_END)) {
                     close(c);
                 }
-            } else if (c.due()) {
-                if (been.longerThan(WHOLE_CALL)) {
-                    late(c);
+            }
+            case SILENT, SENDING -> late(c);
+            default -> {
+                if (!c.connection.isOpen() || c.listed == Standing.GONE || !heardMeanwhile(c)) {
+                    close(c);
                 }
-            } else if (been.longerThan(c.usual ? mostIdle : NO_TASK) && !heardMeanwhile(c)) {
-                close(c);
             }
         }
-        makeRoom();
     }
 
     /**
@@ -260,6 +382,11 @@
         return clock.now();
     }
 
+    /** Since when what is read now may have been here. */
+    Moment cameBy() {
+        return clock.now().minus(unread.get());
+    }
+
     /** For one read; nothing stays in it. */
     ByteBuffer scratch() {
         return scratch.clear();
@@ -286,8 +413,29 @@
 
     /** The word that a client waits for before it sends its body. */
     void goOn(Client client) {
+        client.speaks(true);
+        say(client, ByteBuffer.wrap(GO_ON), () -> {
+            client.speaks(false);
+            client.resumeReads();
+        });
+    }
+
+    /**
+     * Writes words of our own, where no exchange is at it: all of them, as the client takes them. They were written once,
+     * and what a client with a full buffer did not take at once was left out.
+     */
+    private void say(Client client, ByteBuffer words, Runnable said) {
+        StreamSinkChannel sink = client.connection.getSinkChannel();
         try {
-            client.connection.getSinkChannel().write(ByteBuffer.wrap(GO_ON));
+            while (words.hasRemaining()) {
+                if (sink.write(words) == 0) {
+                    client.connection.getSinkChannel().setWriteListener(c -> say(client, words, said));
+                    sink.resumeWrites();
+                    return;
+                }
+            }
+            sink.suspendWrites();
+            said.run();
         } catch (IOException e) {
             close(client);
         }
@@ -315,29 +463,42 @@
         }
         String answer = "HTTP/1.1 " + status + " " + StatusCodes.getReason(status) + "\r\nConnection: close\r\n"
                 + "Content-Length: " + (why.length() + 1) + "\r\n\r\n" + why + "\n";
+        client.connection.getSourceChannel().setReadListener(c -> readOff(client));
+        client.connection.getSourceChannel().resumeReads();
+        say(client, ByteBuffer.wrap(answer.getBytes(StandardCharsets.ISO_8859_1)), () -> endWrites(client));
+    }
+
+    private void endWrites(Client client) {
         try {
-            client.connection.getSourceChannel().setReadListener(c -> readOff(client));
-            client.connection.getSinkChannel().write(
-                    ByteBuffer.wrap(answer.getBytes(StandardCharsets.ISO_8859_1)));
             client.connection.getSinkChannel().shutdownWrites();
             client.connection.getSinkChannel().flush();
-            client.connection.getSourceChannel().resumeReads();
         } catch (IOException e) {
             close(client);
         }
     }
 
-    private void readOff(Client client) {
+    /**
+     * Reads what an ending client has sent: unread bytes would make the close a reset, which swallows what it has not read
+     * of its answer. True if any had come. One that has gone is closed.
+     */
+    private boolean readOff(Client client) {
+        boolean came = false;
         try {
             for (int i = 0; i < ENDS_READ; i++) {
-                if (client.gone()) {
+                int count = client.readOff();
+                if (count < 0) {
                     close(client);
-                    return;
+                    return came;
+                }
+                if (count == 0) {
+                    return came;
                 }
+                came = true;
             }
         } catch (IOException e) {
             close(client);
         }
+        return came;
     }
 
     private void handle(HttpServerExchange exchange) {
@@ -379,9 +540,7 @@
     }
 
     private void ended(Client client) {
-        open.remove(client.connection);
-        lastChange = clock.now();
-        release(client);
+        unlist(client);
         Call call = client.call;
         client.call = null;
         if (call != null) {
@@ -408,8 +567,13 @@
         Moment now = clock.now();
         for (Client c : new ArrayList<>(open.values())) {
             boolean comes = c.due() && !now.since(c.since).longerThan(USUAL);
-            if (!c.busy() && !c.ending() && !comes && !heardMeanwhile(c)) {
-                close(c);
+            if (!c.busy() && !c.ending() && !comes) {
+                if (!mayGoOn()) {
+                    return;
+                }
+                if (!heardMeanwhile(c)) {
+                    close(c);
+                }
             }
         }
     }
@@ -420,7 +584,7 @@
     }
 
     public boolean empty() {
-        return open.isEmpty();
+        return open.isEmpty() && arrivals.isEmpty();
     }
 
     /** Where it listens. */
@@ -428,15 +592,20 @@
         return socket.getLocalAddress(InetSocketAddress.class);
     }
 
+    /** Of those that were taken in. */
     public int connections() {
         return open.size();
     }
 
-    /** Gives back the socket, the connections and the timer. */
+    /** Gives back the socket, the connections, the timer and the pipe. */
     public void close() {
         IoUtils.safeClose(socket);
         sweep.off();
+        turn.close();
+        arrivals.forEach(a -> IoUtils.safeClose(a.connection));
+        arrivals.clear();
         new ArrayList<>(open.keySet()).forEach(IoUtils::safeClose);
         open.clear();
+        standing.values().forEach(LinkedHashSet::clear);
     }
 }
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -1,6 +1,7 @@
 package rampshift.serve;
 
 import io.undertow.connector.ByteBufferPool;
+import java.io.IOException;
 import org.xnio.XnioIoThread;
 import rampshift.clients.Door;
 import rampshift.connections.Dialer;
@@ -39,7 +40,7 @@
     private final Pulse pulse;
 
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
-            Configuration configuration) {
+            Configuration configuration) throws IOException {
         Settings settings = configuration.settings.read(configuration.seed);
         Platform platform = configuration.settings.platform();
         int sockets = configuration.sockets - RESERVED;
@@ -57,7 +58,7 @@
         pulse = new Pulse(thread, clock);
         door = new Door(thread, buffers, clock, counters, clients - spare, spare,
                 (long) (configuration.memoryMb * RECEIVING * (1 << 20)), longest.times(CLIENT_IDLE),
-                new TakeIn(settings, platform, clock, counters, book, admit, pulse));
+                new TakeIn(settings, platform, counters, book, admit), pulse::unread);
     }
 
     /** Called before each first byte to a worker. */
--- a/src/main/java/rampshift/serve/Rehearsal.java
+++ b/src/main/java/rampshift/serve/Rehearsal.java
@@ -56,7 +56,7 @@
     private boolean over;
 
     Rehearsal(XnioIoThread thread, ByteBufferPool buffers, Clock clock, BooleanSupplier alone,
-            Runnable done) {
+            Runnable done) throws IOException {
         Configuration configuration = configuration();
         this.alone = alone;
         this.thread = thread;
--- a/src/main/java/rampshift/stages/Pulse.java
+++ b/src/main/java/rampshift/stages/Pulse.java
@@ -45,7 +45,7 @@
     }
 
     /** For how long, at the most, what is read now may have lain unread; ZERO where the thread was in time. */
-    Span unread() {
+    public Span unread() {
         Moment now = clock.now();
         Moment since = stood(now) ? last : stoodSince;
         return since == null ? Span.ZERO : now.since(since);
--- a/src/main/java/rampshift/stages/Send.java
+++ b/src/main/java/rampshift/stages/Send.java
@@ -28,6 +28,11 @@
         boolean[] ended = {false};
         Assignment a = pool.assign(worker, task.txn, task.once, task.expiry, () -> task.message(clock.now()), timeout,
                 new Assignment.Told() {
+                    @Override
+                    public boolean wanted() {
+                        return task.call.waits();
+                    }
+
                     @Override
                     public void begun() {
                         route.begun(task, number);
--- a/src/main/java/rampshift/stages/TakeIn.java
+++ b/src/main/java/rampshift/stages/TakeIn.java
@@ -11,7 +11,6 @@
 import rampshift.decide.TrafficType;
 import rampshift.log.Log;
 import rampshift.settings.Platform;
-import rampshift.time.Clock;
 import rampshift.time.Span;
 
 /** First stage: makes a task of a client's call, or turns it down with a plain 4xx. */
@@ -26,20 +25,16 @@
     private final Settings settings;
     private final Map<String, Integer> types = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
-    private final Clock clock;
     private final Counters counters;
     private final Book book;
     private final Admit next;
-    private final Pulse pulse;
     private long ids;
 
-    public TakeIn(Settings settings, Platform names, Clock clock, Counters counters, Book book, Admit next, Pulse pulse) {
+    public TakeIn(Settings settings, Platform names, Counters counters, Book book, Admit next) {
         this.settings = settings;
-        this.clock = clock;
         this.counters = counters;
         this.book = book;
         this.next = next;
-        this.pulse = pulse;
         inOrder(names.types(), types);
         inOrder(names.tenants(), tenants);
     }
@@ -112,7 +107,7 @@
         int tenant = tenants.getOrDefault(String.valueOf(call.field(TENANT)), tenants.size());
         next.task(new InHand(++ids, call, txn, type, tenant,
                 row.effect() == TrafficType.Effect.SIDE_EFFECTING, slots, memory,
-                clock.now().plus(patience.minus(pulse.unread()))));
+                call.wholeAt().plus(patience)));
     }
 
     /** Plain decimal digits; NaN for all else that Java would take for a number. */
--- a/src/main/java/rampshift/workers/Assignment.java
+++ b/src/main/java/rampshift/workers/Assignment.java
@@ -26,6 +26,9 @@
 
     /** Who is told; {@code ended} comes once, and last. */
     public interface Told {
+        /** Whether its client still waits: asked before the first byte goes out, and before a last one that was held back. */
+        boolean wanted();
+
         void begun();
 
         void progressed(double share);
@@ -96,11 +99,11 @@
         }
     }
 
-    /** A drain or another address may have been told while the connection was made. */
+    /** A drain or another address may have been told while the connection was made, or its client have left. */
     @Override
     public boolean mayWrite() {
         pool.beforeFirstByte.run();
-        boolean may = place.ready && current() && inTime();
+        boolean may = place.ready && current() && inTime() && out.wanted();
         if (!may) {
             pool.counters.add(Counters.Name.FIRST_BYTE_HELD_BACK);
             end(Outcome.NOT_SENT, null);
@@ -115,7 +118,7 @@
 
     @Override
     public boolean mayFinish() {
-        boolean may = inTime();
+        boolean may = inTime() && out.wanted();
         if (!may) {
             end(Outcome.NOT_SENT, null);
         }
--- a/src/test/java/rampshift/StandIns.java
+++ b/src/test/java/rampshift/StandIns.java
@@ -88,7 +88,14 @@
             }
             Message bare = new Message(head, new byte[0]);
             String length = bare.field("Content-Length");
-            return length == null ? bare : new Message(head, in.readNBytes(Integer.parseInt(length)));
+            if (length == null) {
+                return bare;
+            }
+            byte[] body = in.readNBytes(Integer.parseInt(length));
+            if (body.length < Integer.parseInt(length)) {
+                throw new EOFException();   // half a message is none: its last byte may have been held back for good
+            }
+            return new Message(head, body);
         }
     }
 
--- /dev/null
+++ b/src/test/java/rampshift/serve/WholeAnswersTest.java
@@ -0,0 +1,359 @@
+package rampshift.serve;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static rampshift.StandIns.list;
+import static rampshift.StandIns.node;
+import static rampshift.StandIns.until;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.xnio.ChannelListener;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.conduits.AbstractStreamSinkConduit;
+import org.xnio.conduits.StreamSinkConduit;
+import rampshift.StandIns;
+import rampshift.StandIns.Line;
+import rampshift.StandIns.Message;
+import rampshift.StandIns.Peer;
+import rampshift.settings.Configuration;
+import rampshift.time.NextTurn;
+
+/** Whoever hands in a task gets its whole answer, or is told plainly that it was not taken, and in time. */
+class WholeAnswersTest extends Stories {
+    private static final String LIMITS = "{\"memory_mb\":192,\"sockets\":1024}";
+    /** 22 clients stay, and 2 more are taken. */
+    private static final String FEW = "{\"memory_mb\":192,\"sockets\":104}";
+
+    /** A way to the client that takes so few bytes at a time, and none every other time. */
+    private static final class Narrow extends AbstractStreamSinkConduit<StreamSinkConduit> {
+        private final int width;
+        private boolean full;
+
+        Narrow(StreamSinkConduit next, int width) {
+            super(next);
+            this.width = width;
+        }
+
+        @Override
+        public int write(ByteBuffer from) throws IOException {
+            full = !full;
+            if (full) {
+                return 0;
+            }
+            int limit = from.limit();
+            from.limit(Math.min(limit, from.position() + width));
+            int count = next.write(from);
+            from.limit(limit);
+            return count;
+        }
+
+        @Override
+        public long write(ByteBuffer[] from, int at, int count) throws IOException {
+            for (int i = at; i < at + count; i++) {
+                if (from[i].hasRemaining()) {
+                    return write(from[i]);
+                }
+            }
+            return 0;
+        }
+    }
+
+    private <T> T onThread(java.util.concurrent.Callable<T> step) throws Exception {
+        FutureTask<T> task = new FutureTask<>(step);
+        node.thread.execute(task);
+        return task.get();
+    }
+
+    /** Connections of clients that were accepted and wait for the story to hand them to the dispatcher. */
+    private final LinkedBlockingQueue<StreamConnection> accepted = new LinkedBlockingQueue<>();
+
+    /** A client whose small buffer holds next to nothing, and the dispatcher's end of its connection. */
+    private record Slow(Line line, StreamConnection connection) { }
+
+    private Slow slow() throws Exception {
+        ChannelListener<AcceptingChannel<StreamConnection>> listener = from -> {
+            try {
+                accepted.add(from.accept());
+            } catch (IOException e) {
+                throw new IllegalStateException(e);
+            }
+        };
+        AcceptingChannel<StreamConnection> door = onThread(() -> node.thread.getWorker().createStreamConnectionServer(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), listener, OptionMap.EMPTY));
+        open.add(door);
+        door.resumeAccepts();
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(2048);
+        socket.connect(door.getLocalAddress(InetSocketAddress.class));
+        Line line = new Line(socket);
+        open.add(line);
+        return new Slow(line, accepted.take());
+    }
+
+    private Line narrow(int width) throws Exception {
+        Slow slow = slow();
+        onThread(() -> {
+            slow.connection.getSinkChannel().setConduit(new Narrow(slow.connection.getSinkChannel().getConduit(), width));
+            node.parts.door.accepted(slow.connection);
+            return null;
+        });
+        return slow.line;
+    }
+
+    // ---- closes that could swallow an answer
+
+    /**
+     * Met by reading: an ending client made room at once and without a look, with bytes of its own unread; that close is a
+     * reset, and what its kernel had not taken of the answer went with it.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: next\r\n"})
+    void aClientThatMakesRoomStillReadsItsWholeAnswer(String sentOn) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        String result = "r".repeat(60_000);
+        Peer worker = worker((task, line) -> {
+            go.await();
+            line.done(task, result);
+        });
+        node = node(null, list(true, worker.entry("s-1", "in_service")), FEW);
+        Slow client = slow();
+        onThread(() -> {
+            node.parts.door.accepted(client.connection);
+            return null;
+        });
+        client.line.write("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: t\r\nX-Lane: sell\r\nX-Remaining: 5.0\r\nConnection: close\r\n"
+                + "Content-Length: 1\r\n\r\nx");
+        until("it is out", () -> worker.received.size() == 1);
+        List<Line> others = new ArrayList<>();
+        for (int i = 0; i < 21; i++) {
+            others.add(client());
+        }
+        until("all places are taken", () -> onThread(() -> node.parts.door.connections()) == 22);
+        go.countDown();
+        until("its answer is written", () -> onThread(() -> node.parts.book.tasks()) == 0);
+        Slow last = slow();
+        onThread(() -> {
+            client.line.write(sentOn);      // nobody reads it before the place is needed
+            stand(40);
+            node.parts.door.accepted(last.connection);
+            return null;
+        });
+        assertEquals(result, client.line.read().text());
+    }
+
+    /** Met by reading: written once, and what the client's buffer did not take of it was left out. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 20})
+    void aClientThatIsTurnedAwayReadsAllOfWhy(int width) throws Exception {
+        node = node(null, list(true), LIMITS);
+        Message answer = narrow(width).write("no call at all\r\n\r\n").read();
+        assertEquals(400, answer.status());
+        assertEquals("no call, or more bytes than its length said\n", answer.text());
+    }
+
+    /** Half a word before the answer's head makes nonsense of both. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 20})
+    void aClientThatWaitsForAWordReadsAllOfItAndThenItsAnswer(int width) throws Exception {
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        // Body and all at once: it does not wait, and its call is whole before the word is written.
+        Line client = narrow(width).write("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: b\r\nX-Lane: look\r\n"
+                + "X-Remaining: 5\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n").write("abc");
+        Message first = client.read();
+        if (first.status() == 100) {    // said only if the head came by itself
+            first = client.read();
+        }
+        assertEquals(200, first.status());
+        assertEquals("ok", first.text());
+        // The body comes after the word was begun, and before it is all said.
+        client.write("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: c\r\nX-Lane: look\r\nX-Remaining: 5\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+        assertEquals("H", client.until("H"));
+        client.write("abc");
+        assertEquals("TTP/1.1 100 Continue\r\n\r\n", client.until("\r\n\r\n"));
+        assertEquals("ok", client.read().text());
+    }
+
+    // ---- whose time it is
+
+    /** Met by reading: the time of a call that waited behind another counted from its turn, and its worker was told so. */
+    @Test
+    void theTimeOfACallThatWaitsItsTurnCountsFromWhenItCame() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Peer worker = worker((task, line) -> {
+            go.await();
+            line.done(task, "ok");
+        });
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        Line client = client().task("a", "look", "x").task("b", "look", "x").write("POST /api HTTP/1.1\r\nHost: a\r\nX-Txn: c\r\n"
+                + "X-Lane: look\r\nX-Remaining: 0.3\r\nContent-Length: 1\r\n\r\nx");
+        until("the first is out", () -> worker.received.size() == 1);
+        Thread.sleep(400);      // the time itself is what the third one is out of, not an order
+        go.countDown();
+        assertEquals(200, client.read().status());
+        assertEquals(200, client.read().status());
+        assertEquals(503, client.read().status());
+        assertEquals(2, worker.received.size());
+        double told = Double.parseDouble(worker.received.get(1).field("X-Remaining"));
+        assertTrue(told < 4.65, "of 5 s, 0.4 s after it came, its worker is told " + told);
+    }
+
+    // ---- clients that leave
+
+    /** The end lies unread: the thread is at something else from before the close until an attempt is due. */
+    @ParameterizedTest
+    @ValueSource(strings = {"fin", "rst"})
+    void noAttemptBeginsOnceItsClientsEndIsThere(String how) throws Exception {
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        Line client = client();
+        onThread(() -> {
+            Runnable look = node.beforeFirstByte();
+            node.parts.beforeFirstByte(() -> {
+                try {
+                    client.leave(how);
+                } catch (IOException e) {
+                    throw new IllegalStateException(e);
+                }
+                stand(60);
+                look.run();
+            });
+            return null;
+        });
+        client.task("t", "look", "x");
+        until("it is noticed", () -> count("client_gone") == 1);
+        until("it is given back", () -> onThread(() -> node.parts.book.tasks()) == 0);
+        assertEquals(0, worker.received.size());
+        assertEquals(1, count("first_byte_held_back"));
+    }
+
+    /**
+     * Met on a day with a crowd of idle clients on a quarter of a core: a connection waited in the backlog until its client
+     * had left, its task was read, and sent on 0.66 s after the close, before the end behind it was read.
+     */
+    @Test
+    void aTaskWhoseClientLeftBeforeItWasReadIsNotSent() throws Exception {
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        assertEquals(200, client().task("before", "look", "x").read().status());    // whose connection to the worker is kept
+        Slow client = slow();
+        client.line.task("t", "look", "x").leave("fin");
+        onThread(() -> {
+            stand(20);      // all of it is here by then
+            node.parts.door.accepted(client.connection);
+            return null;
+        });
+        until("it is noticed", () -> count("client_gone") == 1);
+        until("it is given back", () -> onThread(() -> node.parts.book.tasks()) == 0);
+        assertEquals(1, worker.received.size());
+    }
+
+    /** The last byte of a sale is held for a moment on a connection that was kept; its client leaves in that moment. */
+    @Test
+    void noLastByteGoesOutOnceItsClientsEndIsThere() throws Exception {
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        Line client = client();
+        onThread(() -> {
+            Runnable look = node.beforeFirstByte();
+            node.parts.beforeFirstByte(() -> {
+                look.run();
+                node.thread.execute(() -> {     // all but the last byte is written then
+                    try {
+                        client.leave("rst");
+                    } catch (IOException e) {
+                        throw new IllegalStateException(e);
+                    }
+                    stand(200);                 // the hold is over meanwhile, and its timer runs before the sockets are read
+                });
+            });
+            return null;
+        });
+        client.task("t", "sell", "x");
+        until("it is noticed", () -> count("client_gone") == 1);
+        until("it is given back", () -> onThread(() -> node.parts.book.tasks()) == 0);
+        assertEquals(0, worker.received.size());
+    }
+
+    private static void stand(int ms) {
+        for (long end = System.nanoTime() + ms * 1_000_000L; System.nanoTime() < end;) {
+            Thread.onSpinWait();
+        }
+    }
+
+    // ---- crowds
+
+    /**
+     * Met on a day with a crowd of idle clients on a quarter of a core: whoever came was taken in and another closed for it
+     * before any socket was looked at, so that answers lay unread for 1.8 s.
+     */
+    @Test
+    void aRushOfClientsLeavesTheSocketsTheirTurn() throws Exception {
+        node = node(null, list(true), LIMITS);
+        int[] takenIn = {-1};
+        NextTurn[] turn = {null};
+        onThread(() -> {
+            turn[0] = new NextTurn(node.thread);
+            turn[0].run(() -> takenIn[0] = node.parts.door.connections());
+            for (int i = 0; i < 150; i++) {
+                client();
+            }
+            Thread.sleep(200);      // another thread accepts them meanwhile
+            return null;
+        });
+        until("all are taken in", () -> onThread(() -> node.parts.door.connections()) == 150);
+        assertTrue(takenIn[0] >= 0 && takenIn[0] <= 16, takenIn[0] + " were taken in before the sockets were looked at");
+        onThread(() -> {
+            turn[0].close();
+            return null;
+        });
+    }
+
+    // ---- descriptors
+
+    /** Idle clients hold all their places while the list service is silent; all else that needs a descriptor has one. */
+    @Test
+    void idleClientsMayFillTheDescriptorsWhileTheListServiceIsDown() throws Exception {
+        CountDownLatch back = new CountDownLatch(1);
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        Peer added = worker((task, line) -> line.done(task, "added"));
+        Peer agent = worker((message, line) -> {
+            back.await();
+            if (!message.first().contains("index=")) {
+                String body = list(true, added.entry("s-2", "in_service")).replace("REV", "9");
+                line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            }
+        });
+        node = new Serve(Configuration.read(StandIns.configuration(agent, list(true, worker.entry("s-1", "in_service")), FEW)
+                .getBytes(StandardCharsets.UTF_8)));
+        until("the old list goes on", () -> count("watch_broken") >= 2);
+        for (int i = 0; i < 200; i++) {
+            Line idle = client();
+            if (i % 2 == 0) {
+                idle.write("GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            }
+            if (i % 20 == 0) {
+                assertEquals("ok", client().task("t" + i, "look", "x").read().text());
+            }
+        }
+        assertTrue(onThread(() -> node.parts.door.connections()) <= 24);
+        back.countDown();
+        until("the new list is there", () -> count("lists_whole") == 1);
+        assertEquals("added", client().task("u", "sell", "x").read().text());
+    }
+}
--- a/src/test/java/rampshift/workers/PoolTest.java
+++ b/src/test/java/rampshift/workers/PoolTest.java
@@ -283,6 +283,11 @@
         assertTrue(dials.size() == 1, "no more sockets than allowed");
     }
 
+    @Override
+    public boolean wanted() {
+        return true;
+    }
+
     @Override
     public void begun() {
         // Not of interest here.
