Who is on its way at the last call is answered; lists of dispatchers up to 1,024

Read: Door.lastCall closed whoever had connected 0.1 s before, unheard, also in the midst of a call; the fleet file took 100 dispatchers a site, the members' address had a backlog of 64 and closed what came beyond 64 streams, which no descriptors stood for. Now a call under way has the time that any has to be whole; 1,024 dispatchers a site; a backlog of 1,024, streams by the descriptors (a sixteenth each way), which the dispatcher leaves to them, and more wait instead of being closed.

--- a/src/main/java/rampshift/clients/Door.java
+++ b/src/main/java/rampshift/clients/Door.java
@@ -560,13 +560,13 @@
 
     /**
      * The end is near: connections end between calls, as often as this is called. Who has come just now, perhaps since its
-     * call crossed such an end, has a moment to send it; who is being answered reads its answer first.
+     * call crossed such an end, or is in the midst of one, may send it; who is being answered reads its answer first.
      */
     public void lastCall() {
         lastCall = true;
         Moment now = clock.now();
         for (Client c : new ArrayList<>(open.values())) {
-            boolean comes = c.due() && !now.since(c.since).longerThan(USUAL);
+            boolean comes = c.due() && !now.since(c.since).longerThan(WHOLE_CALL);
             if (!c.busy() && !c.ending() && !comes) {
                 if (!mayGoOn()) {
                     return;
--- a/src/main/java/rampshift/fleet/plan/PlanReader.java
+++ b/src/main/java/rampshift/fleet/plan/PlanReader.java
@@ -17,6 +17,7 @@
 /** The one reader of fleet files. */
 public final class PlanReader {
     private static final int MOST = 1_000_000;
+    private static final int MOST_DISPATCHERS = 1024;   // a site
 
     private PlanReader() {
     }
@@ -136,7 +137,7 @@
             w.end();
         }
         Plan.Site site = new Plan.Site(s.name("name"), s.number("share", 0, 1e6, 1),
-                s.whole("dispatchers", 0, 100, 1), groups);
+                s.whole("dispatchers", 0, MOST_DISPATCHERS, 1), groups);
         s.end();
         return site;
     }
--- a/src/main/java/rampshift/members/host/Host.java
+++ b/src/main/java/rampshift/members/host/Host.java
@@ -46,7 +46,9 @@
 public final class Host implements Beside, Roll.Out, Post {
     private static final int DATAGRAM = 2048;
     private static final int AT_ONCE = 64;              // datagrams, then tasks have their turn
-    private static final int MOST_STREAMS = 64;
+    private static final int BACKLOG = 1024;
+    private static final double STREAMS = 1.0 / 16;     // of the descriptors: streams under way; more wait in the backlog
+    private static final int LEAST_STREAMS = 4;
 
     private final Setting setting;
     private final String name;
@@ -76,6 +78,16 @@
         ledger = setting.ledger() == null ? null : new Ledger(setting.ledger(), true);
     }
 
+    /** Two ways, and the sockets listened on. */
+    @Override
+    public int descriptors(Configuration configuration) {
+        return 2 * streams(configuration) + 2;
+    }
+
+    private static int streams(Configuration configuration) {
+        return Math.max(LEAST_STREAMS, (int) (configuration.sockets * STREAMS));
+    }
+
     @Override
     public void begin(XnioWorker worker, XnioIoThread thread, Clock clock, Configuration configuration, Bound bound)
             throws IOException {
@@ -91,7 +103,8 @@
             datagrams = worker.createUdpServer(listen, c -> { }, OptionMap.EMPTY);
             ChannelListener<AcceptingChannel<StreamConnection>> accept = this::accept;
             accepting = worker.createStreamConnectionServer(listen, accept, OptionMap.builder()
-                    .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, 64).getMap());
+                    .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true).set(Options.BACKLOG, BACKLOG)
+                    .set(Options.CONNECTION_HIGH_WATER, streams(configuration)).set(Options.CONNECTION_LOW_WATER, streams(configuration) - 1).getMap());
         } catch (IOException e) {
             end();
             throw new IOException("members: " + at + " can't be listened on (" + e.getMessage() + ")");
@@ -183,8 +196,8 @@
 
     @Override
     public void exchange(String to, byte[] whole) {
-        if (streams.size() >= MOST_STREAMS) {
-            return;
+        if (streams.size() >= 2 * streams(configuration)) {
+            return;     // asked again at the next exchange
         }
         thread.openStreamConnection(address(to), c -> stream(c, whole, answer -> {
             roll.exchanged(clock.now(), answer, answer.length);
@@ -300,7 +313,7 @@
     }
 
     private void stream(StreamConnection connection, byte[] first, java.util.function.Function<byte[], byte[]> got) {
-        if (ended || streams.size() >= MOST_STREAMS) {
+        if (ended) {
             IoUtils.safeClose(connection);
             return;
         }
--- a/src/main/java/rampshift/serve/Beside.java
+++ b/src/main/java/rampshift/serve/Beside.java
@@ -9,6 +9,9 @@
 
 /** What runs beside a dispatcher by the operator's file. All of it is called on the I/O thread. */
 public interface Beside {
+    /** How many descriptors it takes at the most: the dispatcher does with so many fewer. */
+    int descriptors(Configuration configuration);
+
     /** Begins; throws where an address can't be had. */
     void begin(XnioWorker worker, XnioIoThread thread, Clock clock, Configuration configuration, Bound bound)
             throws IOException;
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -24,6 +24,7 @@
 /** One set of the parts between clients and workers, and how the limits are shared out among them. */
 final class Dispatcher {
     private static final int RESERVED = 64;            // descriptors of the JVM, its files and discovery
+    private static final int LEAST = 8;                // that a file of few descriptors still serves with
     private static final double TO_WORKERS = 0.4;      // of the descriptors left
     private static final double SPARE = 0.1;           // of the clients' part: taken in only to be bounced
     private static final double BODIES = 0.08;         // of the memory: what tasks in hand may hold
@@ -40,10 +41,10 @@
     private final Pulse pulse;
 
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
-            Configuration configuration) throws IOException {
+            Configuration configuration, int beside) throws IOException {
         Settings settings = configuration.settings.read(configuration.seed);
         Platform platform = configuration.settings.platform();
-        int sockets = configuration.sockets - RESERVED;
+        int sockets = Math.max(LEAST, configuration.sockets - RESERVED - beside);
         int toWorkers = (int) (sockets * TO_WORKERS);
         int clients = sockets - toWorkers;
         int spare = (int) (clients * SPARE);
--- a/src/main/java/rampshift/serve/Rehearsal.java
+++ b/src/main/java/rampshift/serve/Rehearsal.java
@@ -63,7 +63,7 @@
         this.clock = clock;
         this.done = done;
         parts = new Dispatcher(thread, buffers, new Dialer(thread, this::toWorker), clock, new Counters(),
-                configuration);
+                configuration, 0);
         types = configuration.settings.platform().types();
         parts.route.listed(Listing.read(configuration.known, configuration.known.length), false);
     }
--- a/src/main/java/rampshift/serve/Serve.java
+++ b/src/main/java/rampshift/serve/Serve.java
@@ -98,7 +98,8 @@
     private void begin() throws IOException {
         ByteBufferPool buffers = new DefaultByteBufferPool(true, BUFFER, BUFFERS_KEPT, 0);
         Dialer dialer = new Dialer(thread);
-        parts = new Dispatcher(thread, buffers, dialer, clock, counters, configuration);
+        parts = new Dispatcher(thread, buffers, dialer, clock, counters, configuration,
+                beside == null ? 0 : beside.descriptors(configuration));
         if (configuration.known != null) {
             Listing known = Listing.read(configuration.known, configuration.known.length);
             parts.route.listed(known, true);
--- a/src/test/java/rampshift/discovery/WatchTest.java
+++ b/src/test/java/rampshift/discovery/WatchTest.java
@@ -5,7 +5,10 @@
 import static rampshift.StandIns.list;
 import static rampshift.StandIns.until;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -14,12 +17,17 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
+import rampshift.StandIns.Line;
 import rampshift.StandIns.Peer;
+import rampshift.StandIns.Script;
 import rampshift.connections.Dialer;
 import rampshift.counters.Counters;
 import rampshift.time.Clock;
@@ -242,6 +250,119 @@
         }
     }
 
+    /** What an agent does to a call before it comes back with news. */
+    private static void spoil(String how, Line line) throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+        switch (how) {
+            case "silent" -> { }
+            case "503" -> line.status(503, "");
+            case "ended" -> line.close();
+            case "reset" -> line.leave("rst");
+            case "cut in the head" -> line.write("HTTP/1.1 200 O").close();
+            case "cut in the body" -> line.write(head + "500\r\n\r\n{\"rev\":5,\"all\":true,\"targ").close();
+            case "stuck in the body" -> line.write(head + "500\r\n\r\n{\"rev\":5,\"all\":true,\"targ");
+            case "no json" -> line.write(head + "3\r\n\r\n{]}");
+            case "no list" -> line.write(head + "2\r\n\r\n{}");
+            case "two lengths" -> line.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n{}");
+            case "no http" -> line.write("no such thing\r\n\r\n");
+            case "single bytes" -> {
+                line.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for (char c : list(false).replace("REV", "1").toCharArray()) {
+                    line.write("1\r\n" + c + "\r\n");
+                }
+                line.write("0\r\n\r\n");
+            }
+            default -> throw new IllegalArgumentException(how);
+        }
+    }
+
+    /**
+     * A change counts as told 6 s after discovery had it and could be reached, whatever failed before. Here it is told within
+     * a third of that: the agent misbehaves through four calls, has the news from then on, and the watch is moved to another
+     * address (as at SIGHUP) in the midst of the misbehaviour, or not.
+     */
+    @ParameterizedTest
+    @CsvSource({"silent", "503", "ended", "reset", "cut in the head", "cut in the body", "stuck in the body", "no json", "no list", "two lengths",
+        "no http", "single bytes"})
+    void newsIsToldSoonWhateverWentWrongBefore(String how) throws Exception {
+        for (boolean moves : new boolean[] {false, true}) {
+            told.clear();
+            AtomicInteger asked = new AtomicInteger();
+            Script agentsWay = (message, line) -> {
+                int n = asked.incrementAndGet();
+                if (n == 1) {
+                    String body = list(true).replace("REV", "1");
+                    line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                } else if (n <= 5) {
+                    spoil(how, line);
+                } else {
+                    String body = list(true).replace("REV", "9");
+                    line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                }
+            };
+            try (Peer one = new Peer(agentsWay); Peer two = new Peer(agentsWay)) {
+                long[] wrong = {0};
+                on(() -> {
+                    watch = new Watch(thread, new Dialer(thread), new Clock(), new InetSocketAddress("127.0.0.1", one.port()),
+                            Span.ofMillis(250), counters, l -> {
+                                told.add(l.version());
+                                if (l.version() == 9) {
+                                    watch.stop();
+                                }
+                            }, () -> { });
+                    watch.start();
+                });
+                until("it goes wrong", () -> asked.get() >= 3);
+                wrong[0] = System.nanoTime();
+                if (moves) {
+                    on(() -> watch.move(new InetSocketAddress("127.0.0.1", two.port())));
+                }
+                until("the news is told", () -> told.contains(9L));
+                long ms = (System.nanoTime() - wrong[0]) / 1_000_000;
+                assertTrue(ms < 6000, "three more calls went wrong, and the news came after " + ms + " ms");
+            }
+        }
+    }
+
+    /** Nobody listens there, or connections hang: the outage ends between two tries. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void newsIsToldSoonWhereNoConnectionCouldBeHad(boolean hangs) throws Exception {
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        List<Socket> waiting = new ArrayList<>();
+        ServerSocket full = hangs ? new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1")) : null;
+        for (int i = 0; hangs && i < 2; i++) {
+            waiting.add(new Socket("127.0.0.1", port));     // its backlog is full: the next dial hangs
+        }
+        on(() -> {
+            watch = new Watch(thread, new Dialer(thread), new Clock(), new InetSocketAddress("127.0.0.1", port), Span.ofMillis(250), counters,
+                    l -> {
+                        told.add(l.version());
+                        watch.stop();
+                    }, () -> { });
+            watch.start();
+        });
+        until("two tries have failed", () -> counters.get(Counters.Name.WATCH_BROKEN) >= 2);
+        long from = System.nanoTime();
+        for (Socket s : waiting) {
+            s.close();
+        }
+        if (hangs) {
+            full.close();
+        }
+        try (Peer back = Peer.at(port, (message, line) -> {
+            String body = list(true).replace("REV", "9");
+            line.write("HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        })) {
+            until("the news is told", () -> told.contains(9L));
+            long ms = (System.nanoTime() - from) / 1_000_000;
+            assertTrue(ms < 6000, "the outage was over, and the news came after " + ms + " ms");
+        }
+    }
+
     private void listen(Peer at, int grace) throws Exception {
         on(() -> {
             watch = new Watch(thread, new Dialer(thread), new Clock(), new InetSocketAddress("127.0.0.1", at.port()),
--- a/src/test/java/rampshift/fleet/plan/PlanReaderTest.java
+++ b/src/test/java/rampshift/fleet/plan/PlanReaderTest.java
@@ -57,6 +57,13 @@
                 assertThrows(Fault.class, () -> PlanReader.read("f.toml", GOOD, "none")).getMessage());
     }
 
+    /** A hundred were the most; the operators run up to 120, and nothing here is to be under 1,024. */
+    @Test
+    void aSiteMayHaveAThousandDispatchers() {
+        Plan plan = PlanReader.read("f.toml", GOOD.replace("name = \"a\"", "name = \"a\"\ndispatchers = 1024"), null);
+        assertEquals(1024, plan.sites().get(0).dispatchers());
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "rate = 50          | rate = -1            | f.toml:12: arrivals.rate is -1, expected a number from 0 to 1000000",
@@ -66,6 +73,7 @@
         "slots = 2          | slots = 2.5          | f.toml:4: machine[0].slots is 2.5, expected a whole number from 1 to 10000",
         "machine = \"m\", c | machine = \"n\", c   | f.toml:7: site[0].workers[0].machine is \"n\", which no [[machine]] is named",
         "count = 3          | cuont = 3            | f.toml:7: site[0].workers[0].cuont is not known; the nearest key here is count",
+        "name = \"a\"       | name = \"a\"~dispatchers = 1025 | f.toml:7: site[0].dispatchers is 1025, expected a whole number from 0 to 1024",
         "share = 0.5        | share = 0.5 x        | f.toml:15: ",
         "name = \"look\"    | name = \"a b\"       | f.toml:9: type[0].name is \"a b\", expected a name",
         "rate = 50          | [clients]~warm_up = \"3s\" | f.toml:1: length is to be longer than clients.warm_up",
