A first call's time counts from its bytes, not from its connection

A client that connected ahead of its first call had that time counted against it: rejected too soon, its worker told too little. Line at fault: pullOn, which did not forget the moment at a read that brought nothing.

--- a/src/main/java/rampshift/clients/Client.java
+++ b/src/main/java/rampshift/clients/Client.java
@@ -169,6 +169,7 @@
                     ByteBuffer scratch = door.scratch();
                     int count = next.read(scratch);
                     if (count <= 0) {
+                        cameBy = null;      // what it sends now was not here when it was taken in
                         return count;
                     }
                     readUpTo = came();
--- a/src/test/java/rampshift/serve/WholeAnswersTest.java
+++ b/src/test/java/rampshift/serve/WholeAnswersTest.java
@@ -231,6 +231,19 @@
         assertTrue(told < 4.65, "of 5 s, 0.4 s after it came, its worker is told " + told);
     }
 
+    /** Met on a last reading: whoever connected ahead of its first call had the time between counted against it. */
+    @Test
+    void theTimeOfAFirstCallCountsFromItsBytesNotFromTheConnection() throws Exception {
+        Peer worker = worker((task, line) -> line.done(task, "ok"));
+        node = node(null, list(true, worker.entry("s-1", "in_service")), LIMITS);
+        Line client = client();
+        until("it is taken in", () -> onThread(() -> node.parts.door.connections()) == 1);
+        Thread.sleep(400);      // the time itself is what the call must not be charged with, not an order
+        assertEquals(200, client.task("t", "look", "x").read().status());
+        double told = Double.parseDouble(worker.received.get(0).field("X-Remaining"));
+        assertTrue(told > 4.7, "of 5 s its worker is told " + told);
+    }
+
     // ---- clients that leave
 
     /** The end lies unread: the thread is at something else from before the close until an attempt is due. */
