Policy: a type that its last runs reject is tried again

Callers of a type whose one run was longer than its latency objective were rejected for good by an idle fleet (600 of 600 in a minute). Cause: rejected, a type never runs, and its running times do not age. Now a task that came in time goes to the best worker of its last draw where nothing of its type was sent for 16 mean runs, the time for which other estimates hold.

--- a/src/main/java/rampshift/policy/Admission.java
+++ b/src/main/java/rampshift/policy/Admission.java
@@ -34,11 +34,16 @@
     }
 
     /** Whether the task is rejected rather than sent to the worker, at which it is worth this much. */
-    boolean rejects(Task task, Worker worker, double worth) {
-        return eligibility.mayReject(task) && (worth <= 0
+    boolean rejects(Task task, Worker worker, double worth, boolean isLastDraw) {
+        return eligibility.mayReject(task) && !(isLastDraw && isTrial(task)) && (worth <= 0
                 || value.inTimeByLastStarts(task, worker) < MIN_IN_TIME + context.settings.lateShareWeight);
     }
 
+    /** Nothing of its type was sent for long: after one long run, only another tells that most are short. */
+    private boolean isTrial(Task task) {
+        return !task.arrivedLate && context.runs.isUnsentFor(task, estimates.longTerm(), context.now());
+    }
+
     /**
      * Late by its own hint, and others wait for its slots: a fleet short of capacity did a quarter of its
      * work for late answers. Drawback: where hints tell too little. What may not be rejected goes on.
--- a/src/main/java/rampshift/policy/DispatchPolicy.java
+++ b/src/main/java/rampshift/policy/DispatchPolicy.java
@@ -262,6 +262,7 @@
             slowStart.earn(cost);
         }
         budget.onAttemptSent(attempt);
+        context.runs.onSent(task, context.now());
         attempt.begin();
         worker.idleConnections.pollLast();
         slowStart.onAttemptSent(worker, cost);
--- a/src/main/java/rampshift/policy/RedundantToIdleQueue.java
+++ b/src/main/java/rampshift/policy/RedundantToIdleQueue.java
@@ -36,11 +36,12 @@
                 continue;
             }
             Worker chosen = choose(task, best);
-            if (chosen != null && !admission.rejects(task, chosen, best.score())) {
+            boolean isLastDraw = task.draws >= MAX_DRAWS;
+            if (chosen != null && !admission.rejects(task, chosen, best.score(), isLastDraw)) {
                 hedge(task, chosen);
                 return new TaskAction.Forward(chosen);
             }
-            if (task.draws >= MAX_DRAWS) {
+            if (isLastDraw) {
                 return chosen == null ? TaskAction.NOBODY_PERMITTED : TaskAction.GIVE_UP;
             }
             task.testing = false;
--- a/src/main/java/rampshift/policy/RunTimes.java
+++ b/src/main/java/rampshift/policy/RunTimes.java
@@ -3,6 +3,7 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import rampshift.time.Moment;
 import rampshift.time.Span;
 
 /** The running times of the last tasks, hinted at or measured, and what a task is expected to run by them. */
@@ -14,12 +15,15 @@
     private final SampleWindow[] byType;
     /** By traffic type, what one is taken to run that never ran. */
     private final Span[] guesses;
+    /** By traffic type, when an attempt at a task of it was last sent; null where none was. */
+    private final Moment[] lastSentAt;
     /** Null where not known since the last change: it is asked for many times a decision. */
     private Span mean;
 
     RunTimes(List<TrafficType> types) {
         byType = SampleWindow.rows(types.size(), 32);
         guesses = guesses(types);
+        lastSentAt = new Moment[types.size()];
     }
 
     /** A task arrived; a hint of every one tells, not only the few that finish here. */
@@ -29,6 +33,17 @@
         }
     }
 
+    /** An attempt at a task was sent. */
+    void onSent(Task task, Moment now) {
+        lastSentAt[task.typeIndex] = now;
+    }
+
+    /** Whether nothing of the task's type was sent for so long. */
+    boolean isUnsentFor(Task task, Span span, Moment now) {
+        Moment last = lastSentAt[task.typeIndex];
+        return last == null || now.since(last).longerThan(span);
+    }
+
     /** A task ran so long. */
     void onRun(Task task, Span ran) {
         byType[task.typeIndex].put(ran.millis());
--- a/src/test/java/rampshift/policy/AdmissionTest.java
+++ b/src/test/java/rampshift/policy/AdmissionTest.java
@@ -7,7 +7,6 @@
 import static rampshift.policy.FakeHost.NON_IDEMPOTENT;
 
 import java.util.List;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -76,7 +75,6 @@
      * its running time stayed as it was.
      */
     @Test
-    @Tag("known-red")
     void aTypeWhoseOnlyRunWasTooSlowIsTriedAgain() {
         FakeHost host = new FakeHost();
         int type = host.bound(TrafficType.Effect.NON_IDEMPOTENT, TrafficType.DeduplicationScope.ALL, 0);
