Policy: a task in flight is reviewed once at a time, and not where nothing may follow

Callers of a dispatcher that fell behind got nothing any more, at 400 tasks a second where 200 are carried (-Xint, one core, 16 workers; trial): 564 of 966 samples of the I/O thread in TaskPolicy.review. Cause: each review asks for the next by a timer of its own, and so does each attempt, so that a task that was sent five times was reviewed five times every 16 ms until its end; and with all its attempts used up it drew workers again each time, in vain. Now a task has one review ahead of it, the earliest asked for, and draws only where a further attempt may be lawful. TaskQueueTest fails without it.

--- a/src/main/java/rampshift/policy/DispatchPolicy.java
+++ b/src/main/java/rampshift/policy/DispatchPolicy.java
@@ -267,7 +267,8 @@
         worker.idleConnections.pollLast();
         slowStart.onAttemptSent(worker, cost);
         if (task.hedgeTargets.isEmpty()) {
-            tasks.decideAt(context.after(estimates.startLimit(attempt)).plus(context.settings.tick), task);
+            Moment startDue = context.after(estimates.startLimit(attempt)).plus(context.settings.tick);
+            tasks.reviewAt(startDue, context.now(), task);
         } else {
             tasks.enqueueFirst(task);
         }
--- a/src/main/java/rampshift/policy/RetryPolicy.java
+++ b/src/main/java/rampshift/policy/RetryPolicy.java
@@ -86,11 +86,11 @@
         }
         Span toReview = last.startedAt == null ? estimates.startLimit(last)
                 : context.runs.mean().times(REVIEW_MEAN_RUNS);
-        context.tasks.decideAt(context.after(toReview).plus(context.settings.tick), task);
+        context.tasks.reviewAt(context.after(toReview).plus(context.settings.tick), context.now(), task);
         if (admission.isLateForNothing(task, last.worker) || (hopeless && !eligibility.mayRetry(task))) {
             return Review.GIVE_UP; // held to its deadline, its client could not come back in time
         }
-        boolean retries = stuck && eligibility.mayHedge(task) && tokens >= retryTokens(last);
+        boolean retries = stuck && eligibility.mayRetry(task) && tokens >= retryTokens(last);
         return retries ? Review.RETRY : Review.KEEP;
     }
 
--- a/src/main/java/rampshift/policy/Task.java
+++ b/src/main/java/rampshift/policy/Task.java
@@ -34,6 +34,8 @@
     int tested;
     /** 0 to 1; decides whether candidates never heard from count as idle, and which reports are read. */
     double randomDraw;
+    /** When it is reviewed next, once it was sent; not after now where no review is to come. */
+    Moment nextReview;
     /** Some candidates are being tested. */
     boolean testing;
     int probesPending;
--- a/src/main/java/rampshift/policy/TaskQueue.java
+++ b/src/main/java/rampshift/policy/TaskQueue.java
@@ -89,6 +89,19 @@
         timers.set(at, task);
     }
 
+    /**
+     * Has the task reviewed at that moment, unless it is before. Each review asks for the next one, so that a
+     * timer for each request had a task reviewed ever more often, the longer it was in flight.
+     */
+    void reviewAt(Moment at, Moment now, Task task) {
+        boolean isSooner = task.nextReview != null && now.before(task.nextReview)
+                && !at.before(task.nextReview);
+        if (!isSooner) {
+            task.nextReview = at;
+            timers.set(at, task);
+        }
+    }
+
     /** Enqueues the tasks whose timers are due. */
     void enqueueDue(Moment now) {
         while (timers.due(now)) {
--- a/src/test/java/rampshift/policy/TaskQueueTest.java
+++ b/src/test/java/rampshift/policy/TaskQueueTest.java
@@ -30,6 +30,31 @@
         assertNull(queue.poll());
     }
 
+    /** Each review asks for the next: with a timer a request, two requests were two reviews from then on. */
+    @Test
+    void aTaskIsReviewedOnceHoweverOftenItsReviewIsAskedFor() {
+        Task task = task(1);
+        Moment start = new Moment(0);
+        queue.reviewAt(new Moment(10), start, task);
+        queue.reviewAt(new Moment(12), start, task);
+        queue.enqueueDue(new Moment(10));
+        assertSame(task, queue.poll());
+        queue.reviewAt(new Moment(20), new Moment(10), task);
+        queue.enqueueDue(new Moment(19));
+        assertNull(queue.poll());
+        queue.enqueueDue(new Moment(20));
+        assertSame(task, queue.poll());
+    }
+
+    @Test
+    void anEarlierReviewIsNotPutOff() {
+        Task task = task(1);
+        queue.reviewAt(new Moment(20), new Moment(0), task);
+        queue.reviewAt(new Moment(10), new Moment(0), task);
+        queue.enqueueDue(new Moment(10));
+        assertSame(task, queue.poll());
+    }
+
     @Test
     void aTaskEnqueuedFirstIsDecidedBeforeAllOthers() {
         Task first = task(1);
