Policy: what is due is decided after what had arrived was heard

Cause: any input decided what was due by the clock, and XNIO runs timers before it polls. Now only the policy's own timer decides what is due, and where it is over 5 ms late the host lets a ReadBarrier pass first. It holds for any lateness, since all that had arrived is told before.

--- a/src/main/java/rampshift/pipeline/PolicyHost.java
+++ b/src/main/java/rampshift/pipeline/PolicyHost.java
@@ -13,12 +13,17 @@
 import rampshift.time.Clock;
 import rampshift.time.IoTimer;
 import rampshift.time.Moment;
+import rampshift.time.ReadBarrier;
 import rampshift.time.Span;
 import rampshift.workers.LoadReport;
 
 /** Hosts the dispatch policy: passes each event to it, then carries out its decisions one by one. */
 public final class PolicyHost implements Decisions {
+    /** How late a wake-up may be without what has arrived being read before it. */
+    private static final Span MAX_WAKE_UP_LATENESS = Span.ofMillis(5);
+
     private final XnioIoThread thread;
+    private final ReadBarrier readBarrier;
     private final Clock clock;
     private final DispatchPolicy policy;
     private final EndpointListUpdater endpoints;
@@ -34,6 +39,7 @@
     public PolicyHost(XnioIoThread thread, Clock clock, Settings settings, EndpointListUpdater endpoints,
             TaskRegistry registry, AttemptSender sender, Responder responder) {
         this.thread = thread;
+        readBarrier = new ReadBarrier(thread);
         this.clock = clock;
         this.endpoints = endpoints;
         this.registry = registry;
@@ -210,6 +216,15 @@
             wakeUpTimer.cancel();
         }
         // Woken early, the policy asked for the same again, and the thread spun for most of a millisecond.
-        wakeUpTimer = IoTimer.notBefore(thread, when.since(clock.now()), () -> onEvent(policy::onTimer));
+        wakeUpTimer = IoTimer.notBefore(thread, when.since(clock.now()), () -> onWakeUp(when));
+    }
+
+    /** Late, what workers have sent lies unread, and would be taken for starts and finishes that are missed. */
+    private void onWakeUp(Moment when) {
+        if (clock.now().since(when).longerThan(MAX_WAKE_UP_LATENESS)) {
+            readBarrier.run(() -> onEvent(policy::onTimer));
+        } else {
+            onEvent(policy::onTimer);
+        }
     }
 }
--- a/src/main/java/rampshift/policy/DispatchPolicy.java
+++ b/src/main/java/rampshift/policy/DispatchPolicy.java
@@ -28,10 +28,13 @@
     private final TaskPolicy policy;
     /** When the host was asked to call {@link #onTimer}; null where it was not. */
     private Moment wakeAt;
+    /** Up to when timers are due; later ones wait for {@link #onTimer}. */
+    private Moment dueUntil;
 
     /** Makes a policy that knows no worker yet. */
     public DispatchPolicy(Settings settings, Moment now) {
         context = new PolicyContext(settings, now);
+        dueUntil = now;
         tasks = context.tasks;
         budget = new RetryBudget(settings);
         quotas = new TenantQuotas(settings);
@@ -195,9 +198,14 @@
         }
     }
 
-    /** The moment has come that {@link Decisions#wakeAt} asked for. */
+    /**
+     * The moment has come that {@link Decisions#wakeAt} asked for, and all that was observed before it has
+     * been told. What is due by then is decided now, and by no other input: what is heard first may be what
+     * it waits for.
+     */
     public void onTimer() {
         wakeAt = null;
+        dueUntil = context.now();
     }
 
     private void onContact(Worker worker) {
@@ -214,7 +222,7 @@
             out.cancel(cancelled.task.id, cancelled.number);
             return true;
         }
-        tasks.enqueueDue(context.now());
+        tasks.enqueueDue(dueUntil);
         for (Task task = tasks.poll(); task != null; task = tasks.poll()) {
             if (carryOut(policy.next(task), task, out)) {
                 return true;
--- a/src/test/java/rampshift/policy/FakeHost.java
+++ b/src/test/java/rampshift/policy/FakeHost.java
@@ -147,6 +147,12 @@
         return decide();
     }
 
+    /** Time passes in which the host reads nothing, and does not come to its timers. */
+    FakeHost heldUpFor(double elapsedMs) {
+        clockMs += elapsedMs;
+        return this;
+    }
+
     long taskCount() {
         return tasks;
     }
--- a/src/test/java/rampshift/policy/RetryPolicyTest.java
+++ b/src/test/java/rampshift/policy/RetryPolicyTest.java
@@ -52,6 +52,22 @@
         assertTrue(host.count("cancel " + id + " ") >= 1, "the place in the queue is freed");
     }
 
+    /**
+     * The dispatcher was late itself: the start lay unread behind another task. Decided by whichever input
+     * came first, each attempt counted as not started and was sent again, which made it later still.
+     */
+    @Test
+    void aStartThatIsReadLateButBeforeTheTimerKeepsTheAttemptFromBeingRepeated() {
+        FakeHost host = new FakeHost().fleet(12).train(IDEMPOTENT, 100, 50);
+        long id = host.task(IDEMPOTENT);
+        int first = host.count("forward " + id + " ");
+        host.heldUpFor(40).task(NON_IDEMPOTENT);
+        host.heldUpFor(40).task(NON_IDEMPOTENT);
+        assertEquals(first, host.count("forward " + id + " "), "not decided by another task's arrival");
+        host.started(id, 0).after(0);
+        assertEquals(first, host.count("forward " + id + " "), "its start came before the timer");
+    }
+
     /** A lost task was held until its expiry, so that its client could not come back in time. */
     @Test
     void aTaskWhoseAnswerIsLostIsGivenUpAtOnceWhereNoRetryIsLawful() {
