Pipeline: tasks beyond 20 ms between two polls of the sockets are rejected

Cause: every task that was read was admitted, and what it takes kept the answers to earlier ones unread. Now an AdmissionWindow of 20 ms between two polls bounds the time for new tasks; what comes beyond is answered 503 at once, with Retry-After 1 s where hints are allowed. It holds since the thread comes back to its sockets after 20 ms of admission, whatever is offered.

--- a/src/main/java/rampshift/pipeline/AdmissionControl.java
+++ b/src/main/java/rampshift/pipeline/AdmissionControl.java
@@ -13,6 +13,8 @@
 public final class AdmissionControl {
     private final int maxTasks;
     private final long maxBytes;
+    private final Span overloadRetryAfter;
+    private final AdmissionWindow window;
     private final Clock clock;
     private final Counters counters;
     private final TaskRegistry registry;
@@ -27,12 +29,15 @@
      *
      * @param maxTasks the most tasks in flight
      * @param maxBytes the most bytes that the messages of the tasks in flight may take together
+     * @param overloadRetryAfter when a client may retry that was rejected for overload; zero to tell none
      */
-    public AdmissionControl(int maxTasks, long maxBytes, Clock clock, Counters counters,
-            TaskRegistry registry,
-            Responder responder, PolicyHost policyHost) {
+    public AdmissionControl(int maxTasks, long maxBytes, Span overloadRetryAfter, AdmissionWindow window,
+            Clock clock, Counters counters, TaskRegistry registry, Responder responder,
+            PolicyHost policyHost) {
         this.maxTasks = maxTasks;
         this.maxBytes = maxBytes;
+        this.overloadRetryAfter = overloadRetryAfter;
+        this.window = window;
         this.clock = clock;
         this.counters = counters;
         this.registry = registry;
@@ -58,7 +63,8 @@
         Counters.Name rejection = reasonToReject(task);
         if (rejection != null) {
             counters.add(rejection);
-            responder.rejected(task, Span.ZERO);
+            boolean isOverload = rejection == Counters.Name.TASKS_REJECTED_OVERLOAD;
+            responder.rejected(task, isOverload ? overloadRetryAfter : Span.ZERO);
             return;
         }
         if (latestDeadline != null && !clock.now().before(limitDeadlinesFrom)) {
@@ -81,6 +87,6 @@
             Log.warn("load-shed", "tasks", registry.size(), "bytes", registry.byteCount());
             return Counters.Name.TASKS_REJECTED_OVERLOAD;
         }
-        return null;
+        return window.isOpen() ? null : Counters.Name.TASKS_REJECTED_OVERLOAD;
     }
 }
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -8,6 +8,7 @@
 import rampshift.connections.Dialer;
 import rampshift.counters.Counters;
 import rampshift.pipeline.AdmissionControl;
+import rampshift.pipeline.AdmissionWindow;
 import rampshift.pipeline.AttemptSender;
 import rampshift.pipeline.EndpointListUpdater;
 import rampshift.pipeline.PolicyHost;
@@ -27,6 +28,7 @@
 final class Dispatcher {
     /** A client that has been silent for so many times the longest deadline is dropped. */
     private static final double CLIENT_IDLE_DEADLINES = 4;
+    private static final Span OVERLOAD_RETRY_AFTER = Span.ofMillis(1000);
 
     final ClientListener clientListener;
     final TaskRegistry tasks;
@@ -38,6 +40,7 @@
     final Span drainGrace;
     private final ConnectionPool pool;
     private final StallDetector stalls;
+    private final AdmissionWindow admissionWindow;
 
     /** All parts on one I/O thread, with the descriptors that an extension uses taken off their limits. */
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
@@ -53,9 +56,12 @@
         AttemptSender sender = new AttemptSender(pool, clock, counters);
         EndpointListUpdater endpoints = new EndpointListUpdater(host, pool);
         policyHost = new PolicyHost(thread, clock, settings, endpoints, tasks, sender, responder);
-        admission =
-                new AdmissionControl(limits.inFlightTasks(), limits.inFlightBytes(), clock, counters, tasks,
-                        responder, policyHost);
+        admissionWindow = new AdmissionWindow(thread, clock);
+        Span overloadRetryAfter = settings.retryAfterHints
+                ? OVERLOAD_RETRY_AFTER.orShorter(settings.maxRetryAfter)
+                : Span.ZERO;
+        admission = new AdmissionControl(limits.inFlightTasks(), limits.inFlightBytes(), overloadRetryAfter,
+                admissionWindow, clock, counters, tasks, responder, policyHost);
         stalls = new StallDetector(thread, clock);
         RequestDecoder decoder = new RequestDecoder(settings, host, counters, tasks, admission);
         ClientLimits clientLimits =
@@ -82,6 +88,7 @@
     /** Gives back timers, sockets and connections. */
     void close() {
         stalls.close();
+        admissionWindow.close();
         clientListener.close();
         pool.close();
         policyHost.close();
