Policy: a type that never ran pays for room as a mean run does

Now an unknown running time counts as one mean run in the price of room. It holds for both: a task of no worth is outbid by any price, and none by a guess.

--- a/src/main/java/rampshift/policy/Admission.java
+++ b/src/main/java/rampshift/policy/Admission.java
@@ -29,8 +29,8 @@
 
     /** The capacity that the task takes earns more with others, where it is short. */
     boolean isOutbid(Task task) {
-        double price = fullShare() * context.history.values.mean(0) * context.runs.costInMeanRuns(task);
-        return eligibility.mayReject(task) && context.runs.isKnown(task) && price > value.ofTask(task);
+        double price = fullShare() * context.history.values.mean(0) * context.runs.knownCostInMeanRuns(task);
+        return eligibility.mayReject(task) && price > value.ofTask(task);
     }
 
     /** Whether the task is rejected rather than sent to the worker, at which it is worth this much. */
--- a/src/main/java/rampshift/policy/RunTimes.java
+++ b/src/main/java/rampshift/policy/RunTimes.java
@@ -98,4 +98,9 @@
     double costInMeanRuns(Task task) {
         return expected(task).over(mean()) * task.slots;
     }
+
+    /** The same; a mean run where the running time is a guess, which may be many of them. */
+    double knownCostInMeanRuns(Task task) {
+        return isKnown(task) ? costInMeanRuns(task) : task.slots;
+    }
 }
