Pipeline: a burst of up to 0.2 s is admitted whole

A mend of, found beside load by ClientDepartureTimeTest: of hundreds of requests that came at once to a process that is cold or waits for a core, those beyond 20 ms were rejected. Cause: the bound held from the first window on. Now it holds once windows that are too long have come again and again for over 0.2 s. A lasting overload is bounded as before; a burst that ends sooner costs nobody its answer.

--- a/src/main/java/rampshift/pipeline/AdmissionWindow.java
+++ b/src/main/java/rampshift/pipeline/AdmissionWindow.java
@@ -8,17 +8,22 @@
 import rampshift.time.Span;
 
 /**
- * Bounds for how long new tasks may keep the I/O thread between two polls of its sockets. What comes beyond
- * that is rejected at once: admitted, it would keep the responses to earlier tasks unread, until none of them
- * ends in its time.
+ * Bounds for how long new tasks may keep the I/O thread between two polls of its sockets, once it has been
+ * behind for some time. What comes beyond that is rejected at once: admitted, it would keep the responses to
+ * earlier tasks unread, until none of them ends in its time. A burst that is over before is admitted whole,
+ * also by a process that is cold or waits for a core.
  */
 public final class AdmissionWindow {
     private static final Span MAX_LENGTH = Span.ofMillis(20);
+    private static final Span TOLERATED_OVERLOAD = Span.ofMillis(200);
 
     private final Clock clock;
     private final NextTick nextTick;
     /** When the first task came since the last poll; null where none has. */
     private Moment openedAt;
+    /** When a window was first, and last, too long in the present overload. */
+    private Moment overloadedSince;
+    private Moment lastTooLongAt;
 
     /**
      * Creates a window, whose methods are to be called on this thread.
@@ -37,7 +42,16 @@
             openedAt = now;
             nextTick.run(() -> openedAt = null);
         }
-        return !now.since(openedAt).longerThan(MAX_LENGTH);
+        return !now.since(openedAt).longerThan(MAX_LENGTH) || !isOverloaded(now);
+    }
+
+    /** Asked in a window that is too long: whether such have come again and again for longer than a burst. */
+    private boolean isOverloaded(Moment now) {
+        if (lastTooLongAt == null || now.since(lastTooLongAt).longerThan(TOLERATED_OVERLOAD)) {
+            overloadedSince = now;
+        }
+        lastTooLongAt = now;
+        return now.since(overloadedSince).longerThan(TOLERATED_OVERLOAD);
     }
 
     /** Releases the descriptors. */
