Policy: runs shorter than the clock tells do not make their worker look slow

Callers of a type with longer runs were rejected by a worker that had run another type in well under half a millisecond: it looked ten times as slow as it was. Cause: a measured run counts as half a tick at the least, what was expected of it did not. Now both halves of the ratio do, so that equal runs are a speed of 1 however short they are.

--- a/src/main/java/rampshift/policy/WorkerObserver.java
+++ b/src/main/java/rampshift/policy/WorkerObserver.java
@@ -53,15 +53,20 @@
             // First, so that a type's first task does not make its worker look many times as fast or slow.
             context.runs.onRun(attempt.task, ran);
         }
-        double ranMs = Math.max(ran.millis(), context.settings.tick.millis() / 2);
+        double ranMs = notBelowHalfATick(ran);
         if (context.runs.isKnown(attempt.task)) { // a guess over a run says nothing of the worker
-            double expectedMs = context.runs.expected(attempt.task).millis();
+            double expectedMs = notBelowHalfATick(context.runs.expected(attempt.task));
             worker.sawRun(expectedMs, ranMs, slowStart.warmth(worker) >= 1);
         }
         worker.lostTypes.remove(attempt.task.typeIndex);
         onPromise(attempt, true); // it was not late meanwhile; where starts are not told nothing else tells
     }
 
+    /** In milliseconds. Both of a ratio, or a worker of very short runs looks slow: the clock tells no less. */
+    private double notBelowHalfATick(Span span) {
+        return Math.max(span.millis(), context.settings.tick.millis() / 2);
+    }
+
     /** Cancelled though it should have started by then, it tells of the queue as a start would. */
     void onAttemptCancelled(Attempt attempt) {
         if (estimates.isStartOverdue(attempt)) {
--- a/src/test/java/rampshift/policy/WorkerEstimatesTest.java
+++ b/src/test/java/rampshift/policy/WorkerEstimatesTest.java
@@ -58,6 +58,18 @@
         assertTrue(there <= elsewhere + 2, "of workers alike one got " + there + ", the other " + elsewhere);
     }
 
+    /**
+     * A run of less than half a tick counts as half of one, and what was expected of it did not: a worker that
+     * ran a type in 0.05 ms for long looked ten times as slow as it was, and a type that runs longer was rejected.
+     */
+    @Test
+    void runsShorterThanTheClockTellsDoNotMakeTheirWorkerLookSlow() {
+        FakeHost host = new FakeHost().fleet(1).train(IDEMPOTENT, 80, 0.05);
+        host.train(NON_IDEMPOTENT, 1, 0.05).free(1, 4);
+        long id = host.hinted(NON_IDEMPOTENT, 60, 5000 - 170);
+        assertEquals(1, host.worker(id, 0), "60 ms are to run, 110 are left");
+    }
+
     @Test
     void liveWeightsOfTheListTellWhichWorkerIsBusy() {
         FakeHost host = new FakeHost();
