Test: the interrupted trial has SIGINT's default, whoever started the build

Symptom: anInterruptedTrialLeavesNoProcessBehind failed three times of three in a build that a script had started in the background. Cause, of the test: such a build has SIGINT ignored, so has each child, and the JVM keeps to it. With SIGINT ignored (trap "" INT) 3 of 3 failed before and none of 3 after.

--- a/src/test/java/rampshift/testbed/experiment/FleetRunTest.java
+++ b/src/test/java/rampshift/testbed/experiment/FleetRunTest.java
@@ -182,14 +182,19 @@
         }
     }
 
-    /** Interrupted in the first second, while dispatchers start, and under load. */
+    /**
+     * Interrupted in the first second, while dispatchers start, and under load. A build that a script starts in
+     * the background has SIGINT ignored, and so has each child that it starts: the trial ran on and the test
+     * failed three times of three. So the trial is given the signal's default.
+     */
     @ParameterizedTest
     @ValueSource(ints = {300, 1200, 5000})
     void anInterruptedTrialLeavesNoProcessBehind(int afterMs) throws Exception {
         Path outputFile = folder.resolve("out.txt");
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        Process trial = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                "rampshift.Main", "try", "--keep", folder.toString()).redirectErrorStream(true)
+        Process trial = new ProcessBuilder("env", "--default-signal=INT", java, "-cp",
+                System.getProperty("java.class.path"), "rampshift.Main", "try", "--keep",
+                folder.toString()).redirectErrorStream(true)
                 .redirectOutput(outputFile.toFile()).start();
         Thread.sleep(afterMs);
         new ProcessBuilder("kill", "-INT", String.valueOf(trial.pid())).start().waitFor();
