Pipeline: an overload is told by windows that are too long, for over a second

And beside load hundreds of requests to a cold process were still rejected (ClientDepartureTimeTest). Now an overload ends only once a poll came sooner than a window's length, and begins after a second, by which a cold process keeps up.

--- a/src/main/java/rampshift/pipeline/AdmissionWindow.java
+++ b/src/main/java/rampshift/pipeline/AdmissionWindow.java
@@ -15,7 +15,8 @@
  */
 public final class AdmissionWindow {
     private static final Span MAX_LENGTH = Span.ofMillis(20);
-    private static final Span TOLERATED_OVERLOAD = Span.ofMillis(200);
+    /** A cold process takes about as long until it keeps up. */
+    private static final Span TOLERATED_OVERLOAD = Span.ofMillis(1000);
 
     private final Clock clock;
     private final NextTick nextTick;
@@ -24,6 +25,10 @@
     /** When a window was first, and last, too long in the present overload. */
     private Moment overloadedSince;
     private Moment lastTooLongAt;
+    /** The present window is too long. */
+    private boolean tooLong;
+    /** Between two polls since then, tasks took less than a window. */
+    private boolean hasCaughtUp = true;
 
     /**
      * Creates a window, whose methods are to be called on this thread.
@@ -40,20 +45,36 @@
         Moment now = clock.now();
         if (openedAt == null) {
             openedAt = now;
-            nextTick.run(() -> openedAt = null);
+            nextTick.run(this::onPolled);
         }
         return !now.since(openedAt).longerThan(MAX_LENGTH) || !isOverloaded(now);
     }
 
-    /** Asked in a window that is too long: whether such have come again and again for longer than a burst. */
+    /**
+     * Asked in a window that is too long: whether such have come again and again for longer than a burst. Time
+     * alone does not end an overload: the responses to what was admitted may take as long.
+     */
     private boolean isOverloaded(Moment now) {
-        if (lastTooLongAt == null || now.since(lastTooLongAt).longerThan(TOLERATED_OVERLOAD)) {
+        if (hasCaughtUp
+                && (lastTooLongAt == null || now.since(lastTooLongAt).longerThan(TOLERATED_OVERLOAD))) {
             overloadedSince = now;
         }
+        hasCaughtUp = false;
+        tooLong = true;
         lastTooLongAt = now;
         return now.since(overloadedSince).longerThan(TOLERATED_OVERLOAD);
     }
 
+    private void onPolled() {
+        openedAt = null;
+        if (tooLong) {
+            tooLong = false;
+            nextTick.run(this::onPolled); // tells whether the next poll comes sooner
+        } else {
+            hasCaughtUp = true;
+        }
+    }
+
     /** Releases the descriptors. */
     public void close() {
         nextTick.close();
