Pipeline: a late wake-up that waits for what has arrived can be cancelled

Found by reading: a dispatcher that was closed while its late wake-up waited behind the ReadBarrier was told of the time once more. The wait is now a timeout that the host's close cancels, as it cancels the timer before it.

--- a/src/main/java/rampshift/pipeline/PolicyHost.java
+++ b/src/main/java/rampshift/pipeline/PolicyHost.java
@@ -222,7 +222,7 @@
     /** Late, what workers have sent lies unread, and would be taken for starts and finishes that are missed. */
     private void onWakeUp(Moment when) {
         if (clock.now().since(when).longerThan(MAX_WAKE_UP_LATENESS)) {
-            readBarrier.run(() -> onEvent(policy::onTimer));
+            wakeUpTimer = IoTimer.timeout(thread, Span.ZERO, readBarrier, () -> onEvent(policy::onTimer));
         } else {
             onEvent(policy::onTimer);
         }
