Policy: a dispatcher that has run nothing prices no type by the guess for another

Cause: takes the shortest guess for the mean, so that a longer type cost several mean runs of room, a ratio of two guesses. Now it is one mean run until something ran.

--- a/src/main/java/rampshift/policy/RunTimes.java
+++ b/src/main/java/rampshift/policy/RunTimes.java
@@ -96,7 +96,9 @@
 
     /** The slots and time that the task is expected to take, in mean runs of one slot. */
     double costInMeanRuns(Task task) {
-        return expected(task).over(mean()) * task.slots;
+        // Of two guesses no ratio: with the shortest for the mean, longer types were rejected by a fresh process.
+        double meanRuns = all.count() == 0 && !isKnown(task) ? 1 : expected(task).over(mean());
+        return meanRuns * task.slots;
     }
 
     /** The same; a mean run where the running time is a guess, which may be many of them. */
