--- a/src/main/java/rampshift/pipeline/AdmissionWindow.java
+++ b/src/main/java/rampshift/pipeline/AdmissionWindow.java
@@ -51,8 +51,8 @@
     }
 
     /**
-     * Asked in a window that is too long: whether such have come again and again for longer than a burst. Time
-     * alone does not end an overload: the responses to what was admitted may take as long.
+     * Asked in a window that is too long: whether such have come again and again for longer than a burst.
+     * Time alone does not end an overload: the responses to what was admitted may take as long.
      */
     private boolean isOverloaded(Moment now) {
         if (hasCaughtUp
--- a/src/main/java/rampshift/pipeline/PolicyHost.java
+++ b/src/main/java/rampshift/pipeline/PolicyHost.java
@@ -219,7 +219,7 @@
         wakeUpTimer = IoTimer.notBefore(thread, when.since(clock.now()), () -> onWakeUp(when));
     }
 
-    /** Late, what workers have sent lies unread, and would be taken for starts and finishes that are missed. */
+    /** Late, what workers have sent lies unread, and would be taken for missed starts and finishes. */
     private void onWakeUp(Moment when) {
         if (clock.now().since(when).longerThan(MAX_WAKE_UP_LATENESS)) {
             wakeUpTimer = IoTimer.timeout(thread, Span.ZERO, readBarrier, () -> onEvent(policy::onTimer));
--- a/src/main/java/rampshift/policy/RunTimes.java
+++ b/src/main/java/rampshift/policy/RunTimes.java
@@ -8,7 +8,7 @@
 
 /** The running times of the last tasks, hinted at or measured, and what a task is expected to run by them. */
 final class RunTimes {
-    /** Of the time that a task has, that one of a type that never ran is taken to run: the rest is for waits. */
+    /** Share of its time that a task of a type that never ran is taken to run: the rest is for waits. */
     private static final double UNKNOWN_RUN_SHARE = 0.5;
 
     private final SampleWindow all = new SampleWindow(64); // in milliseconds
@@ -96,7 +96,7 @@
 
     /** The slots and time that the task is expected to take, in mean runs of one slot. */
     double costInMeanRuns(Task task) {
-        // Of two guesses no ratio: with the shortest for the mean, longer types were rejected by a fresh process.
+        // Of two guesses no ratio: the shortest for the mean, a fresh process rejected longer types.
         double meanRuns = all.count() == 0 && !isKnown(task) ? 1 : expected(task).over(mean());
         return meanRuns * task.slots;
     }
--- a/src/main/java/rampshift/policy/WorkerObserver.java
+++ b/src/main/java/rampshift/policy/WorkerObserver.java
@@ -62,7 +62,7 @@
         onPromise(attempt, true); // it was not late meanwhile; where starts are not told nothing else tells
     }
 
-    /** In milliseconds. Both of a ratio, or a worker of very short runs looks slow: the clock tells no less. */
+    /** In milliseconds, for both of a ratio: the clock tells no less, and very short runs would look slow. */
     private double notBelowHalfATick(Span span) {
         return Math.max(span.millis(), context.settings.tick.millis() / 2);
     }
--- a/src/test/java/rampshift/policy/FakeHost.java
+++ b/src/test/java/rampshift/policy/FakeHost.java
@@ -43,7 +43,7 @@
         return settings.types.size() - 1;
     }
 
-    /** Adds a type whose latency objective grows by so many of its running times. The result is its number. */
+    /** Adds a type whose latency objective grows by so many of its running times. Returns its number. */
     int bound(TrafficType.Effect effect, TrafficType.DeduplicationScope scope, double slackFactor) {
         settings.types.add(new TrafficType(1, 0, Span.ofMillis(100), slackFactor, Span.ofMillis(5000), effect,
                 scope, Span.ofMillis(1000), null, null));
--- a/src/test/java/rampshift/policy/WorkerEstimatesTest.java
+++ b/src/test/java/rampshift/policy/WorkerEstimatesTest.java
@@ -59,8 +59,9 @@
     }
 
     /**
-     * A run of less than half a tick counts as half of one, and what was expected of it did not: a worker that
-     * ran a type in 0.05 ms for long looked ten times as slow as it was, and a type that runs longer was rejected.
+     * A run of less than half a tick counts as half of one, and what was expected of it did not: a worker
+     * that ran a type in 0.05 ms for long looked ten times as slow as it was, and a type that runs longer
+     * was rejected.
      */
     @Test
     void runsShorterThanTheClockTellsDoNotMakeTheirWorkerLookSlow() {
--- a/src/test/java/rampshift/serve/RequestDeadlineTest.java
+++ b/src/test/java/rampshift/serve/RequestDeadlineTest.java
@@ -65,9 +65,9 @@
     }
 
     /**
-     * Seen beside load: up to 28 of some 1,900 attempts told their worker 150 to 350 ms more than their client
-     * had left. A request that lies unread while the thread is held up has lost that time, and up to 200 ms of
-     * it were not noticed: the operators allow 150 ms.
+     * Seen beside load: up to 28 of some 1,900 attempts told their worker 150 to 350 ms more than their
+     * client had left. A request that lies unread while the thread is held up has lost that time, and up to
+     * 200 ms of it were not noticed: the operators allow 150 ms.
      */
     @Test
     void deadlineOfARequestThatLayUnreadCountsFromItsArrival() throws Exception {
--- a/src/test/java/rampshift/testbed/experiment/FleetRunTest.java
+++ b/src/test/java/rampshift/testbed/experiment/FleetRunTest.java
@@ -183,9 +183,9 @@
     }
 
     /**
-     * Interrupted in the first second, while dispatchers start, and under load. A build that a script starts in
-     * the background has SIGINT ignored, and so has each child that it starts: the trial ran on and the test
-     * failed three times of three. So the trial is given the signal's default.
+     * Interrupted in the first second, while dispatchers start, and under load. A build that a script starts
+     * in the background has SIGINT ignored, and so has each child that it starts: the trial ran on and the
+     * test failed three times of three. So the trial is given the signal's default.
      */
     @ParameterizedTest
     @ValueSource(ints = {300, 1200, 5000})
