Pipeline: the admission window opens again before the poll, not within it

Callers saw in an overload: a client whose socket stood before the window's own pipe among those that were ready was turned away, and since the order of sockets stays as it is, the same clients at each poll.

Cause: the window was reset by a byte that the thread sends itself, which is one more socket among the ready ones. Now the thread resets it by a task of its own: XNIO runs these once it has gone through all sockets that were ready and before it polls again, so all sockets of one poll find the window open. The pipe is used only in an overload, to tell whether the next poll comes sooner.

--- a/src/main/java/rampshift/pipeline/AdmissionWindow.java
+++ b/src/main/java/rampshift/pipeline/AdmissionWindow.java
@@ -18,6 +18,7 @@
     /** A cold process takes about as long until it keeps up. */
     private static final Span TOLERATED_OVERLOAD = Span.ofMillis(1000);
 
+    private final XnioIoThread thread;
     private final Clock clock;
     private final NextTick nextTick;
     /** When the first task came since the last poll; null where none has. */
@@ -36,6 +37,7 @@
      * @throws IOException if there are no descriptors left
      */
     public AdmissionWindow(XnioIoThread thread, Clock clock) throws IOException {
+        this.thread = thread;
         this.clock = clock;
         nextTick = new NextTick(thread);
     }
@@ -43,11 +45,20 @@
     /** Returns whether one more task may be admitted before the sockets are polled. */
     boolean isOpen() {
         Moment now = clock.now();
+        open(now);
+        return !now.since(openedAt).longerThan(MAX_LENGTH) || !isOverloaded(now);
+    }
+
+    /**
+     * The thread runs what it is given once it has gone through the sockets that were ready, and before it
+     * polls again. Told by a socket of its own, clients that came before that one at each poll were turned
+     * away at each.
+     */
+    private void open(Moment now) {
         if (openedAt == null) {
             openedAt = now;
-            nextTick.run(this::onPolled);
+            thread.execute(this::onSocketsDone);
         }
-        return !now.since(openedAt).longerThan(MAX_LENGTH) || !isOverloaded(now);
     }
 
     /**
@@ -65,11 +76,11 @@
         return now.since(overloadedSince).longerThan(TOLERATED_OVERLOAD);
     }
 
-    private void onPolled() {
+    private void onSocketsDone() {
         openedAt = null;
         if (tooLong) {
             tooLong = false;
-            nextTick.run(this::onPolled); // tells whether the next poll comes sooner
+            nextTick.run(() -> open(clock.now())); // tells whether the next poll comes sooner
         } else {
             hasCaughtUp = true;
         }
--- a/src/test/java/rampshift/pipeline/AdmissionWindowTest.java
+++ b/src/test/java/rampshift/pipeline/AdmissionWindowTest.java
@@ -66,6 +66,21 @@
         }
     }
 
+    /**
+     * Of the sockets of one poll, all find the window open. It was opened by a socket too, and clients that
+     * came before that one were turned away, in an overload the same ones at each poll.
+     */
+    @Test
+    void theWindowIsOpenAgainBeforeThePoll() throws Exception {
+        FutureTask<Boolean> beforePoll = new FutureTask<>(window::isOpen);
+        onThread(() -> {
+            assertFalse(keepBusy(130), "behind for 1.3 s");
+            thread.execute(beforePoll);
+            return null;
+        });
+        assertTrue(beforePoll.get());
+    }
+
     @Test
     void aBurstThatIsSoonOverIsTakenWhole() throws Exception {
         assertTrue(onThread(() -> keepBusy(10)));
