Clients: connections that have waited are opened for 5 ms a poll, not just 16

Cause: 16 connections are opened between two polls, which keeps a crowd of idle clients from taking the thread. Under load a poll comes every 25 ms or later, that is 640 connections a second, while clients had opened 7,400: each waited for seconds before it was read. Beyond the 16, connections that have waited for over 20 ms are now opened for 5 ms a poll. A crowd that has just come still waits for the poll, and so does one at the limit of connections, where each costs another whose descriptor is released by the next poll.

--- a/src/main/java/rampshift/clients/ClientListener.java
+++ b/src/main/java/rampshift/clients/ClientListener.java
@@ -42,8 +42,13 @@
     private final ArrayDeque<Arrival> arrivals = new ArrayDeque<>();
     private AcceptingChannel<StreamConnection> socket;
 
-    /** A connection, and the earliest time at which its first bytes may have arrived. */
-    private record Arrival(StreamConnection channel, Moment acceptedAt) {}
+    /**
+     * A connection that waits to be served.
+     *
+     * @param acceptedAt when it was accepted
+     * @param firstBytesAt the earliest time at which its first bytes may have arrived
+     */
+    private record Arrival(StreamConnection channel, Moment acceptedAt, Moment firstBytesAt) {}
 
     /** Passes what connections report on to those who handle it. */
     private final class EventRouter implements ConnectionEvents {
@@ -90,7 +95,7 @@
         this.limits = limits;
         context = new ReadContext(clock, maxUnreadTime);
         receiveBudget = new ReceiveBudget(limits.receivingBytes());
-        tick = new TickBudget(thread, this::onNextTick);
+        tick = new TickBudget(thread, clock, this::onNextTick);
         table = new ConnectionTable(clock);
         closer = new ConnectionCloser(table, tick);
         rejecter = new RequestRejecter(thread, counters, closer, new ConnectionWriter(closer));
@@ -137,7 +142,7 @@
         try {
             for (StreamConnection channel = from.accept(); channel != null; channel = from.accept()) {
                 table.recordChange();
-                arrivals.add(new Arrival(channel, context.earliestArrival()));
+                arrivals.add(new Arrival(channel, context.now(), context.earliestArrival()));
             }
             serveArrivals();
         } catch (IOException e) {
@@ -146,12 +151,17 @@
     }
 
     private void serveArrivals() {
-        while (!arrivals.isEmpty() && tick.tryUse()) {
+        while (!arrivals.isEmpty() && mayServe(arrivals.peek())) {
             Arrival arrival = arrivals.poll();
-            serve(arrival.channel(), arrival.acceptedAt());
+            serve(arrival.channel(), arrival.firstBytesAt());
         }
     }
 
+    /** At the limit each is served at the cost of another, whose descriptor is released by the next poll. */
+    private boolean mayServe(Arrival arrival) {
+        return limiter.hasRoom() ? tick.tryUse(arrival.acceptedAt()) : tick.tryUse();
+    }
+
     private void onNextTick() {
         if (drainer.isDraining()) {
             drainer.drain(tick);
@@ -164,9 +174,9 @@
         serve(channel, context.earliestArrival());
     }
 
-    private void serve(StreamConnection channel, Moment acceptedAt) {
+    private void serve(StreamConnection channel, Moment firstBytesAt) {
         counters.add(Counters.Name.CLIENT_CONNECTIONS);
-        table.add(new ClientConnection(channel, events, context, receiveBudget, acceptedAt));
+        table.add(new ClientConnection(channel, events, context, receiveBudget, firstBytesAt));
         limiter.makeRoom();
         receiver.serve(channel);
     }
--- a/src/main/java/rampshift/clients/ConnectionLimiter.java
+++ b/src/main/java/rampshift/clients/ConnectionLimiter.java
@@ -39,6 +39,11 @@
         return table.size() > limits.connections();
     }
 
+    /** Returns whether one more connection may stay with all that there are. */
+    boolean hasRoom() {
+        return table.size() < limits.connections();
+    }
+
     /** Closes connections until the others are within the limit, or none may be closed. */
     void makeRoom() {
         while (isOverLimit()) {
