Clients: a task that comes in an overload is rejected by its head, unparsed

Callers saw, at two to four times what a dispatcher carries: next to nothing finished, since what it rejected took the time of what it had taken.

Cause: a rejected request was read by the dispatcher's own reader, parsed again by the HTTP server, decoded as a task and answered through an exchange, for about a third of what a task costs. Now, once a task has been turned away between two polls, others that come before the next poll are answered as soon as they are read whole: 503 with Retry-After, written to the socket, the connection open. Left to the ordinary way are pages, transactions that are known here (503 says that a task may be sent again, and an attempt of it may run), and connections that are to close.

--- a/src/main/java/rampshift/clients/ClientConnection.java
+++ b/src/main/java/rampshift/clients/ClientConnection.java
@@ -214,9 +214,17 @@
                 return result;
             }
         }
+        if (input.isRequestUntouched() && events.rejectsForOverload(this, input.requestHead())) {
+            return 0;
+        }
         return input.readRequestBytes(to);
     }
 
+    /** Keeps the request in flight from the HTTP server: its response is sent without it. */
+    void withholdRequest() {
+        input.withholdRequest();
+    }
+
     /** Reads on, and returns -1 at the end of the input, else 0. */
     private int readRequest() throws IOException {
         int result = -1;
--- a/src/main/java/rampshift/clients/ClientListener.java
+++ b/src/main/java/rampshift/clients/ClientListener.java
@@ -27,6 +27,7 @@
 
     private final Counters counters;
     private final ClientLimits limits;
+    private final EarlyRejection earlyRejection;
     private final ReadContext context;
     private final ReceiveBudget receiveBudget;
     private final TickBudget tick;
@@ -72,6 +73,17 @@
             rejecter.reject(connection, reason);
         }
 
+        @Override
+        public boolean rejectsForOverload(ClientConnection connection, RequestHead head) {
+            boolean staysOpen = head.isPersistent() && !connection.closesAfterResponse()
+                    && !closesAfterResponses();
+            if (!staysOpen || !earlyRejection.rejects(head)) {
+                return false;
+            }
+            rejecter.rejectForOverload(connection);
+            return true;
+        }
+
         @Override
         public void readOnNextTick(ClientConnection connection) {
             tick.processInputOnNextTick(connection);
@@ -86,23 +98,27 @@
      * tasks of 381.
      *
      * @param handler is passed all requests but those for status pages
+     * @param earlyRejection rejects requests before they reach the handler
      * @param maxUnreadTime for how long, at most, what is read now may have been in a socket's buffer
      * @throws IOException if there are no descriptors left
      */
     public ClientListener(XnioIoThread thread, ByteBufferPool buffers, Clock clock, Counters counters,
-            ClientLimits limits, RequestHandler handler, Supplier<Span> maxUnreadTime) throws IOException {
+            ClientLimits limits, RequestHandler handler, EarlyRejection earlyRejection,
+            Supplier<Span> maxUnreadTime) throws IOException {
         this.counters = counters;
         this.limits = limits;
+        this.earlyRejection = earlyRejection;
         context = new ReadContext(clock, maxUnreadTime);
         receiveBudget = new ReceiveBudget(limits.receivingBytes());
         tick = new TickBudget(thread, clock, this::onNextTick);
         table = new ConnectionTable(clock);
         closer = new ConnectionCloser(table, tick);
-        rejecter = new RequestRejecter(thread, counters, closer, new ConnectionWriter(closer));
+        rejecter = new RequestRejecter(thread, counters, closer, new ConnectionWriter(closer),
+                earlyRejection.retryAfterSeconds());
         limiter = new ConnectionLimiter(limits, table, closer, counters, clock);
         drainer = new ConnectionDrainer(clock, table, closer);
         receiver = new HttpRequestReceiver(buffers, clock, table, closer, handler,
-                () -> drainer.isDraining() || limiter.isOverLimit());
+                this::closesAfterResponses);
         reaper = new IdleConnectionReaper(thread, clock, counters, limits.idleTime(), table, closer,
                 rejecter);
         reaper.start(() -> {
@@ -111,6 +127,11 @@
         });
     }
 
+    /** Returns whether connections are to be closed after their responses at present. */
+    private boolean closesAfterResponses() {
+        return drainer.isDraining() || limiter.isOverLimit();
+    }
+
     /** Serves a page at a path of its own, for GET and HEAD; the supplier is called for each request. */
     public void addPage(String path, Supplier<StatusPage> page) {
         receiver.addPage(path, page);
--- a/src/main/java/rampshift/clients/ConnectionEvents.java
+++ b/src/main/java/rampshift/clients/ConnectionEvents.java
@@ -14,6 +14,12 @@
     /** The client has sent what can't be accepted as a request. */
     void invalidRequest(ClientConnection connection, InvalidRequestException reason);
 
+    /**
+     * A request is complete. Returns whether it is rejected for overload; if so, the response is sent, and
+     * the HTTP server is to read nothing of the request.
+     */
+    boolean rejectsForOverload(ClientConnection connection, RequestHead head);
+
     /** Input that was read already waits, and may be handed on once the other sockets have been polled. */
     void readOnNextTick(ClientConnection connection);
 }
--- a/src/main/java/rampshift/clients/RequestHead.java
+++ b/src/main/java/rampshift/clients/RequestHead.java
@@ -1,16 +1,22 @@
 package rampshift.clients;
 
+import java.util.HashMap;
 import java.util.Locale;
+import java.util.Map;
 
-/** Checks the lines of one request head, and holds what they say about how the body is framed. */
-final class RequestHead {
+/** Checks the lines of one request head, and holds its fields and what they say about the body's framing. */
+public final class RequestHead {
     /** The most header fields and trailer fields of one request together. */
     static final int MAX_FIELDS = 64;
     private static final int MAX_LENGTH_DIGITS = 18;
     private static final int LAST_PRINTABLE_ASCII = '~';
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
     private static final long UNKNOWN_LENGTH = -1;
+    /** Stands for the values of a field that is there several times; no value has line ends. */
+    private static final String AMBIGUOUS = "\r\n";
 
+    /** By name in lower case. */
+    private final Map<String, String> fields = new HashMap<>();
     private int fieldCount;
     private long contentLength = UNKNOWN_LENGTH;
     private boolean post;
@@ -48,7 +54,9 @@
             throw new InvalidRequestException(431, "over " + MAX_FIELDS + " header fields");
         }
         String value = line.substring(colon + 1).trim();
-        switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
+        String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
+        fields.merge(name, value, (first, second) -> AMBIGUOUS);
+        switch (name) {
             case "content-length" -> contentLength(value);
             case "transfer-encoding" -> transferEncoding(value);
             case "expect" -> expect(value);
@@ -118,6 +126,22 @@
         }
     }
 
+    /** Returns whether the method is POST. */
+    public boolean isPost() {
+        return post;
+    }
+
+    /** Returns the only value of a header field; null if the field is absent or there several times. */
+    public String value(String name) {
+        String value = fields.get(name.toLowerCase(Locale.ROOT));
+        return AMBIGUOUS.equals(value) ? null : value;
+    }
+
+    /** Returns whether the connection stays open after the response, as far as the client says. */
+    boolean isPersistent() {
+        return !http10 && !fields.containsKey("connection");
+    }
+
     boolean isChunked() {
         return chunked;
     }
--- a/src/main/java/rampshift/clients/RequestInput.java
+++ b/src/main/java/rampshift/clients/RequestInput.java
@@ -22,6 +22,7 @@
     private final PipelinedInput pipelined = new PipelinedInput();
     /** The request in flight; null if there is none. */
     private ByteBuffer request;
+    private RequestHead requestHead;
     private Moment requestReceivedAt;
     /** The earliest arrival of what is read next; null if it is estimated when it is read. */
     private Moment nextArrival;
@@ -55,6 +56,21 @@
         return request != null && request.hasRemaining();
     }
 
+    /** Returns whether a request is in flight of which the HTTP server has read nothing yet. */
+    boolean isRequestUntouched() {
+        return request != null && request.position() == 0;
+    }
+
+    /** Returns the head of the request in flight. */
+    RequestHead requestHead() {
+        return requestHead;
+    }
+
+    /** Keeps the request in flight from the HTTP server: its response is sent without it. */
+    void withholdRequest() {
+        request.position(request.limit());
+    }
+
     /** Moves bytes of the request in flight, as many as fit, and returns their number. */
     int readRequestBytes(ByteBuffer to) {
         int count = Math.min(to.remaining(), request.remaining());
@@ -185,6 +201,7 @@
     }
 
     private int handOn() throws InvalidRequestException {
+        requestHead = reader.head();
         request = reader.takeRequest();
         requestReceivedAt = lastArrival;
         connection.requestReceived();
--- a/src/main/java/rampshift/clients/RequestReader.java
+++ b/src/main/java/rampshift/clients/RequestReader.java
@@ -76,6 +76,11 @@
         return !part.isHead() && part != Part.COMPLETE && head.takeContinueExpected();
     }
 
+    /** Returns the head of the request that is being read. */
+    RequestHead head() {
+        return head;
+    }
+
     /** Returns the bytes of the request, and starts on the next one. */
     ByteBuffer takeRequest() {
         ByteBuffer request = ByteBuffer.wrap(bytes, 0, length);
--- a/src/main/java/rampshift/clients/RequestRejecter.java
+++ b/src/main/java/rampshift/clients/RequestRejecter.java
@@ -16,13 +16,29 @@
     private final Counters counters;
     private final ConnectionCloser closer;
     private final ConnectionWriter writer;
+    private final byte[] overloadResponse;
 
     RequestRejecter(XnioIoThread thread, Counters counters, ConnectionCloser closer,
-            ConnectionWriter writer) {
+            ConnectionWriter writer, String retryAfterSeconds) {
         this.thread = thread;
         this.counters = counters;
         this.closer = closer;
         this.writer = writer;
+        overloadResponse = overloadResponse(retryAfterSeconds).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String overloadResponse(String retryAfterSeconds) {
+        String retryAfter = retryAfterSeconds == null ? "" : "Retry-After: " + retryAfterSeconds + "\r\n";
+        return "HTTP/1.1 503 Service Unavailable\r\n" + retryAfter + "Content-Length: 0\r\n\r\n";
+    }
+
+    /** Rejects a request of which the HTTP server has read nothing; the connection stays open. */
+    void rejectForOverload(ClientConnection connection) {
+        connection.withholdRequest();
+        writer.write(connection, ByteBuffer.wrap(overloadResponse), () -> {
+            connection.responseSent(false);
+            connection.resumeReads();
+        });
     }
 
     /** Sends "100 Continue"; no request is handed on before all of it is written. */
--- a/src/main/java/rampshift/pipeline/AdmissionWindow.java
+++ b/src/main/java/rampshift/pipeline/AdmissionWindow.java
@@ -28,6 +28,8 @@
     private Moment lastTooLongAt;
     /** The present window is too long. */
     private boolean tooLong;
+    /** No more tasks are admitted before the next poll. */
+    private boolean shut;
     /** Between two polls since then, tasks took less than a window. */
     private boolean hasCaughtUp = true;
 
@@ -43,10 +45,11 @@
     }
 
     /** Returns whether one more task may be admitted before the sockets are polled. */
-    boolean isOpen() {
+    public boolean isOpen() {
         Moment now = clock.now();
         open(now);
-        return !now.since(openedAt).longerThan(MAX_LENGTH) || !isOverloaded(now);
+        shut = now.since(openedAt).longerThan(MAX_LENGTH) && isOverloaded(now);
+        return !shut;
     }
 
     /**
@@ -61,6 +64,11 @@
         }
     }
 
+    /** Returns whether a task has been turned away since the last poll: so is any other until the next. */
+    boolean isShut() {
+        return shut;
+    }
+
     /**
      * Asked in a window that is too long: whether such have come again and again for longer than a burst.
      * Time alone does not end an overload: the responses to what was admitted may take as long.
@@ -78,6 +86,7 @@
 
     private void onSocketsDone() {
         openedAt = null;
+        shut = false;
         if (tooLong) {
             tooLong = false;
             nextTick.run(() -> open(clock.now())); // tells whether the next poll comes sooner
--- a/src/main/java/rampshift/pipeline/RequestDecoder.java
+++ b/src/main/java/rampshift/pipeline/RequestDecoder.java
@@ -18,7 +18,7 @@
 /** Makes tasks of clients' requests, and refuses requests that are none with a status of 4xx. */
 public final class RequestDecoder implements RequestHandler {
     static final String REMAINING_TIME_FIELD = "X-Remaining";
-    private static final String TRANSACTION_FIELD = "X-Txn";
+    static final String TRANSACTION_FIELD = "X-Txn";
     private static final String TYPE_FIELD = "X-Lane";
     private static final String LABELS_FIELD = "X-Labels";
     private static final String IDEMPOTENCY_KEY_FIELD = "Idempotency-Key";
--- a/src/main/java/rampshift/pipeline/Responder.java
+++ b/src/main/java/rampshift/pipeline/Responder.java
@@ -24,10 +24,15 @@
 
     /** Rejects a task that never ran or may run again, with a span to retry after; zero to tell none. */
     void rejected(InFlightTask task, Span retryAfter) {
-        String seconds = MIN_RETRY_AFTER.longerThan(retryAfter) ? null : retryAfter.seconds();
+        String seconds = retryAfterSeconds(retryAfter);
         respond(task, Counters.Name.TASKS_REJECTED, SERVICE_UNAVAILABLE, seconds, EMPTY);
     }
 
+    /** Returns the value of Retry-After for a span; null where it is too short to tell. */
+    static String retryAfterSeconds(Span retryAfter) {
+        return MIN_RETRY_AFTER.longerThan(retryAfter) ? null : retryAfter.seconds();
+    }
+
     void failed(InFlightTask task) {
         respond(task, Counters.Name.TASKS_FAILED, GATEWAY_TIMEOUT, null, EMPTY);
     }
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -11,6 +11,7 @@
 import rampshift.pipeline.AdmissionWindow;
 import rampshift.pipeline.AttemptSender;
 import rampshift.pipeline.EndpointListUpdater;
+import rampshift.pipeline.OverloadRejection;
 import rampshift.pipeline.PolicyHost;
 import rampshift.pipeline.RequestDecoder;
 import rampshift.pipeline.Responder;
@@ -40,7 +41,7 @@
     final Span drainGrace;
     private final ConnectionPool pool;
     private final StallDetector stalls;
-    private final AdmissionWindow admissionWindow;
+    final AdmissionWindow admissionWindow;
 
     /** All parts on one I/O thread, with the descriptors that an extension uses taken off their limits. */
     Dispatcher(XnioIoThread thread, ByteBufferPool buffers, Dialer dialer, Clock clock, Counters counters,
@@ -68,6 +69,7 @@
                 new ClientLimits(limits.clientConnections(), limits.spareClientConnections(),
                         limits.receivingBytes(), longestDeadline.times(CLIENT_IDLE_DEADLINES));
         clientListener = new ClientListener(thread, buffers, clock, counters, clientLimits, decoder,
+                new OverloadRejection(admissionWindow, overloadRetryAfter, tasks, counters),
                 stalls::maxUnreadTime);
     }
 
