--- a/src/test/java/rampshift/clients/TickBudgetTest.java
+++ b/src/test/java/rampshift/clients/TickBudgetTest.java
@@ -3,15 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.concurrent.Callable;
-import java.util.concurrent.FutureTask;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioWorker;
+import org.junit.jupiter.api.extension.RegisterExtension;
+import rampshift.IoThreadExtension;
 import rampshift.time.Clock;
 import rampshift.time.Moment;
 import rampshift.time.Span;
@@ -27,30 +22,18 @@
     private static final Span LONG_WAIT = Span.ofMillis(1000);
 
     private final Clock clock = new Clock();
-    private XnioWorker worker;
+    @RegisterExtension
+    final IoThreadExtension ioThread = new IoThreadExtension();
     private TickBudget budget;
 
     @BeforeEach
-    void start() throws Exception {
-        worker = Xnio.getInstance()
-                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
-        budget = onThread(() -> new TickBudget(worker.getIoThread(0), clock, () -> {}));
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
-    }
-
-    private <T> T onThread(Callable<T> work) throws Exception {
-        FutureTask<T> task = new FutureTask<>(work);
-        worker.getIoThread(0).execute(task);
-        return task.get();
+    void createBudget() throws Exception {
+        budget = ioThread.call(() -> new TickBudget(ioThread.thread(), clock, () -> {}));
     }
 
     @Test
     void connectionsThatHaveWaitedAreOpenedForSomeTimeMore() throws Exception {
-        onThread(() -> {
+        ioThread.call(() -> {
             Moment longAgo = clock.now().minus(LONG_WAIT);
             useUp();
             assertTrue(budget.tryUse(longAgo), "beyond the number");
@@ -62,7 +45,7 @@
 
     @Test
     void connectionsThatHaveJustComeWaitForThePoll() throws Exception {
-        onThread(() -> {
+        ioThread.call(() -> {
             Moment later = clock.now().plus(LONG_WAIT);
             useUp();
             assertFalse(budget.tryUse(later));
--- a/src/test/java/rampshift/connections/DialerTest.java
+++ b/src/test/java/rampshift/connections/DialerTest.java
@@ -10,17 +10,12 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.xnio.FutureResult;
 import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
+import rampshift.IoThreadExtension;
 import rampshift.time.IoTimer;
 import rampshift.time.Span;
 
@@ -35,28 +30,17 @@
     private static final Span DIAL_TIMEOUT = Span.ofMillis(20);
     private static final long HELD_UP_MILLIS = 60;
 
-    private XnioWorker worker;
-    private XnioIoThread thread;
-
-    @BeforeEach
-    void start() throws Exception {
-        worker = Xnio.getInstance()
-                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
-        thread = worker.getIoThread(0);
-    }
-
-    @AfterEach
-    void stop() {
-        worker.shutdownNow();
-    }
+    @RegisterExtension
+    final IoThreadExtension ioThread = new IoThreadExtension();
 
     /** The connection is up at once, while the thread is held up for three times the timeout. */
     @Test
     void aConnectionThatIsUpCountsThoughTheThreadComesToItLate() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             CompletableFuture<String> result = new CompletableFuture<>();
-            thread.execute(() -> {
-                new Dialer(thread).dial((InetSocketAddress) server.getLocalSocketAddress(), DIAL_TIMEOUT,
+            ioThread.thread().execute(() -> {
+                new Dialer(ioThread.thread()).dial((InetSocketAddress) server.getLocalSocketAddress(),
+                        DIAL_TIMEOUT,
                         new ResultListener(result));
                 holdUp();
             });
@@ -67,8 +51,11 @@
     @Test
     void aDialThatIsNeverAnsweredTimesOutOnce() throws Exception {
         CompletableFuture<String> result = new CompletableFuture<>();
-        thread.execute(() -> new Dialer(thread, (address, listener) -> new FutureResult<StreamConnection>()
-                .getIoFuture()).dial(null, DIAL_TIMEOUT, new ResultListener(result)));
+        ioThread.thread().execute(
+                () -> new Dialer(ioThread.thread(),
+                        (address, listener) -> new FutureResult<StreamConnection>()
+                                .getIoFuture())
+                        .dial(null, DIAL_TIMEOUT, new ResultListener(result)));
         assertEquals("connect timed out", result.get(TIMEOUT_SECONDS, TimeUnit.SECONDS));
     }
 
@@ -76,10 +63,11 @@
     @Test
     void inputThatHasArrivedIsHandedOnBeforeATimeout() throws Exception {
         CompletableFuture<String> first = new CompletableFuture<>();
-        var pipe = thread.createFullDuplexPipeConnection();
+        var pipe = ioThread.thread().createFullDuplexPipeConnection();
         StreamConnection near = pipe.getLeftSide();
-        thread.execute(() -> {
-            IoTimer timer = IoTimer.timeout(thread, DIAL_TIMEOUT, new Dialer(thread).readBarrier(),
+        ioThread.thread().execute(() -> {
+            IoTimer timer = IoTimer.timeout(ioThread.thread(), DIAL_TIMEOUT,
+                    new Dialer(ioThread.thread()).readBarrier(),
                     () -> first.complete("timeout"));
             near.getSourceChannel().setReadListener(source -> {
                 timer.cancel();
--- a/src/test/java/rampshift/connections/HttpConnectionTest.java
+++ b/src/test/java/rampshift/connections/HttpConnectionTest.java
@@ -9,18 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.xnio.ChannelPipe;
 import org.xnio.FutureResult;
-import org.xnio.OptionMap;
-import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
 import org.xnio.conduits.AbstractStreamSourceConduit;
 import org.xnio.conduits.StreamSourceConduit;
+import rampshift.IoThreadExtension;
 import rampshift.time.Span;
 
 /** One connection over a pipe. */
@@ -29,21 +25,10 @@
     private static final int RESPONSE_BYTES = 4 * HttpConnection.MAX_BYTES_PER_POLL;
     private static final int TIMEOUT_SECONDS = 20;
 
-    private final XnioWorker xnio;
-    private final XnioIoThread thread;
+    @RegisterExtension
+    final IoThreadExtension ioThread = new IoThreadExtension();
     private HttpConnection connection;
 
-    HttpConnectionTest() throws IOException {
-        xnio = Xnio.getInstance().createWorker(
-                OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
-        thread = xnio.getIoThread(0);
-    }
-
-    @AfterEach
-    void stopThread() {
-        xnio.shutdownNow();
-    }
-
     /** A peer that sent faster than it was read held the I/O thread for good. */
     @Test
     void aPeerThatAlwaysHasMoreToReadLeavesTheThreadToOthersAfterABoundedNumberOfBytes() throws Exception {
@@ -61,7 +46,7 @@
         BodyCounter counter = new BodyCounter();
         startExchangeWithFloodingPeer(counter);
         CompletableFuture<Integer> polledBytes = new CompletableFuture<>();
-        thread.execute(() -> {
+        ioThread.thread().execute(() -> {
             connection.poll();
             polledBytes.complete(counter.count);
         });
@@ -70,11 +55,12 @@
     }
 
     private StreamConnection startExchangeWithFloodingPeer(ExchangeListener listener) throws Exception {
-        ChannelPipe<StreamConnection, StreamConnection> pipe = thread.createFullDuplexPipeConnection();
+        ChannelPipe<StreamConnection, StreamConnection> pipe =
+                ioThread.thread().createFullDuplexPipeConnection();
         StreamConnection near = pipe.getLeftSide();
         near.getSourceChannel().setConduit(new FloodingConduit(near.getSourceChannel().getConduit()));
         CompletableFuture<Void> started = new CompletableFuture<>();
-        thread.execute(() -> {
+        ioThread.thread().execute(() -> {
             connection = new HttpConnection(dialerOfOneOpenConnection(), near);
             connection.exchange(listener, ByteBuffer.wrap(new byte[]{'x'}));
             started.complete(null);
@@ -84,8 +70,9 @@
     }
 
     private Dialer dialerOfOneOpenConnection() {
-        Dialer dialer = new Dialer(thread, (address, listener) -> new FutureResult<StreamConnection>()
-                .getIoFuture());
+        Dialer dialer =
+                new Dialer(ioThread.thread(), (address, listener) -> new FutureResult<StreamConnection>()
+                        .getIoFuture());
         dialer.dial(InetSocketAddress.createUnresolved("peer", 1), Span.ofMillis(1_000_000), null);
         return dialer;
     }
@@ -99,7 +86,7 @@
         @Override
         public void onBody(byte[] bytes, int offset, int length) {
             if (count == 0) {
-                thread.execute(() -> bytesBeforeTheNextTask.complete(count));
+                ioThread.thread().execute(() -> bytesBeforeTheNextTask.complete(count));
             }
             count += length;
         }
--- a/src/test/java/rampshift/pipeline/AdmissionWindowTest.java
+++ b/src/test/java/rampshift/pipeline/AdmissionWindowTest.java
@@ -13,11 +13,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
+import org.junit.jupiter.api.extension.RegisterExtension;
+import rampshift.IoThreadExtension;
 import rampshift.time.Clock;
 import rampshift.time.NextTick;
 import rampshift.time.ReadBarrier;
@@ -31,33 +28,27 @@
     private static final long CAUGHT_UP_MILLIS = 1050;
     private static final long TIMEOUT_SECONDS = 20;
 
-    private XnioWorker worker;
-    private XnioIoThread thread;
+    @RegisterExtension
+    final IoThreadExtension ioThread = new IoThreadExtension();
     private AdmissionWindow window;
 
     @BeforeEach
-    void start() throws Exception {
-        worker = Xnio.getInstance()
-                .createWorker(OptionMap.create(Options.WORKER_IO_THREADS, 1, Options.THREAD_DAEMON, true));
-        thread = worker.getIoThread(0);
-        window = onThread(() -> new AdmissionWindow(thread, new Clock()));
+    void createWindow() throws Exception {
+        window = ioThread.call(() -> new AdmissionWindow(ioThread.thread(), new Clock()));
     }
 
     @AfterEach
-    void stop() {
-        worker.shutdownNow();
-    }
-
-    private <T> T onThread(Callable<T> work) throws Exception {
-        FutureTask<T> task = new FutureTask<>(work);
-        thread.execute(task);
-        return task.get();
+    void closeWindow() throws Exception {
+        ioThread.call(() -> {
+            window.close();
+            return null;
+        });
     }
 
     /** A hundred and thirty tasks of 10 ms in one go, and more whenever the sockets were polled. */
     @Test
     void aThreadThatStaysBehindTakesTasksForTwentyMillisecondsAPoll() throws Exception {
-        assertFalse(onThread(() -> keepBusy(130)), "behind for 1.3 s");
+        assertFalse(ioThread.call(() -> keepBusy(130)), "behind for 1.3 s");
         for (int poll = 0; poll < 3; poll++) {
             assertFalse(afterPoll(() -> {
                 assertTrue(window.isOpen(), "the first task after a poll");
@@ -73,9 +64,9 @@
     @Test
     void theWindowIsOpenAgainBeforeThePoll() throws Exception {
         FutureTask<Boolean> beforePoll = new FutureTask<>(window::isOpen);
-        onThread(() -> {
+        ioThread.call(() -> {
             assertFalse(keepBusy(130), "behind for 1.3 s");
-            thread.execute(beforePoll);
+            ioThread.thread().execute(beforePoll);
             return null;
         });
         assertTrue(beforePoll.get());
@@ -83,14 +74,14 @@
 
     @Test
     void aBurstThatIsSoonOverIsTakenWhole() throws Exception {
-        assertTrue(onThread(() -> keepBusy(10)));
+        assertTrue(ioThread.call(() -> keepBusy(10)));
         assertTrue(afterPoll(window::isOpen));
     }
 
     /** Behind no longer, it takes the next burst whole. */
     @Test
     void aThreadThatHasCaughtUpTakesTheNextBurst() throws Exception {
-        assertFalse(onThread(() -> keepBusy(130)), "behind for 1.3 s");
+        assertFalse(ioThread.call(() -> keepBusy(130)), "behind for 1.3 s");
         afterPoll(() -> {
             Thread.sleep(CAUGHT_UP_MILLIS);
             return null;
@@ -103,9 +94,9 @@
     void workBetweenTwoWindowsDoesNotEndAnOverload() throws Exception {
         List<Boolean> lastWasTaken = new ArrayList<>();
         CountDownLatch done = new CountDownLatch(3);
-        onThread(() -> {
+        ioThread.call(() -> {
             keepBusy(130);
-            NextTick tick = new NextTick(thread);
+            NextTick tick = new NextTick(ioThread.thread());
             tick.run(() -> respondAndKeepBusy(tick, lastWasTaken, done));
             return null;
         });
@@ -139,8 +130,8 @@
 
     private <T> T afterPoll(Callable<T> work) throws Exception {
         FutureTask<T> task = new FutureTask<>(work);
-        onThread(() -> {
-            new ReadBarrier(thread).run(task);
+        ioThread.call(() -> {
+            new ReadBarrier(ioThread.thread()).run(task);
             return null;
         });
         return task.get();
