Clients: who asks to keep the connection is rejected by the head as well

Callers that send Connection: keep-alive, the default of HTTP/1.1 and what many do, were left to the costly way in an overload: any Connection field was taken for a wish to end the connection. Only other values and HTTP/1.0 go the ordinary way now, where the HTTP server ends the connection. The test sends the field as many clients write it; the tests that reject a client share one step.

--- a/src/main/java/rampshift/clients/RequestHead.java
+++ b/src/main/java/rampshift/clients/RequestHead.java
@@ -139,7 +139,8 @@
 
     /** Returns whether the connection stays open after the response, as far as the client says. */
     boolean isPersistent() {
-        return !http10 && !fields.containsKey("connection");
+        String connection = fields.get("connection");
+        return !http10 && (connection == null || connection.equalsIgnoreCase("keep-alive"));
     }
 
     boolean isChunked() {
--- a/src/test/java/rampshift/serve/OverloadRejectionTest.java
+++ b/src/test/java/rampshift/serve/OverloadRejectionTest.java
@@ -32,10 +32,7 @@
     @Test
     void aTaskIsRejectedByItsHeadAndItsConnectionStaysOpen() throws Exception {
         startServer(finishingWorker());
-        SlowClient client = slowClient();
-        client.line().write(TASK_OF_NO_TYPE);
-        serveInOverload(client);
-        assertRejected(client.line().read());
+        SlowClient client = rejectedClient(TASK_OF_NO_TYPE);
         assertEquals(1, count("bounced_full"));
         assertEquals(1, count("bounced"));
         assertEquals(0, count("turned_down"));
@@ -98,6 +95,13 @@
         assertEquals(200, client.line().read().status());
     }
 
+    /** Many clients say what is the default of HTTP/1.1. */
+    @Test
+    void aTaskOfAClientThatAsksToKeepItsConnectionIsRejectedByItsHead() throws Exception {
+        startServer(finishingWorker());
+        rejectedClient(TASK_OF_NO_TYPE.replace("Host: a", "Host: a\r\nConnection: Keep-Alive"));
+    }
+
     /** Who asks for the end of the connection is served by the HTTP server, which ends it. */
     @Test
     void aConnectionThatIsToCloseCloses() throws Exception {
@@ -113,12 +117,18 @@
     @Test
     void aRejectedClientThatLeavesIsForgotten() throws Exception {
         startServer(finishingWorker());
+        SlowClient client = rejectedClient(TASK_OF_NO_TYPE);
+        client.line().disconnect(FIN);
+        until("its connection is closed", () -> clientConnectionCount() == 0);
+    }
+
+    /** A client whose first request comes in an overload and is rejected. */
+    private SlowClient rejectedClient(String request) throws Exception {
         SlowClient client = slowClient();
-        client.line().write(TASK_OF_NO_TYPE);
+        client.line().write(request);
         serveInOverload(client);
         assertRejected(client.line().read());
-        client.line().disconnect(FIN);
-        until("its connection is closed", () -> clientConnectionCount() == 0);
+        return client;
     }
 
     private static void assertRejected(HttpMessage response) {
