Clients: the head of a request is let go once the HTTP server reads it

Since rejection by the head each connection kept the fields of its last request, also while idle and through each task. It is kept now from when the request is complete until its first byte is handed on, which also tells whether that has happened.

--- a/src/main/java/rampshift/clients/RequestInput.java
+++ b/src/main/java/rampshift/clients/RequestInput.java
@@ -22,6 +22,7 @@
     private final PipelinedInput pipelined = new PipelinedInput();
     /** The request in flight; null if there is none. */
     private ByteBuffer request;
+    /** Its head until the HTTP server reads it; null then, since idle connections are many. */
     private RequestHead requestHead;
     private Moment requestReceivedAt;
     /** The earliest arrival of what is read next; null if it is estimated when it is read. */
@@ -58,10 +59,10 @@
 
     /** Returns whether a request is in flight of which the HTTP server has read nothing yet. */
     boolean isRequestUntouched() {
-        return request != null && request.position() == 0;
+        return requestHead != null;
     }
 
-    /** Returns the head of the request in flight. */
+    /** Returns the head of the request in flight while that is untouched. */
     RequestHead requestHead() {
         return requestHead;
     }
@@ -69,10 +70,12 @@
     /** Keeps the request in flight from the HTTP server: its response is sent without it. */
     void withholdRequest() {
         request.position(request.limit());
+        requestHead = null;
     }
 
     /** Moves bytes of the request in flight, as many as fit, and returns their number. */
     int readRequestBytes(ByteBuffer to) {
+        requestHead = null;
         int count = Math.min(to.remaining(), request.remaining());
         int limit = request.limit();
         to.put(request.limit(request.position() + count));
@@ -89,6 +92,7 @@
 
     void clearRequest() {
         request = null;
+        requestHead = null;
     }
 
     /** Returns whether a part of a request, or more, has been read that is not handed on yet. */
