Review: case 1 loses the second keeper only once the first is ready again

Cause: the case killed d3 while d2 was still starting, so two of three were down for a second. Change: d3's machine is replaced after d2's /ready has answered 200, as in a rolling replacement.

--- a/review/standin/KeeperBack.java
+++ b/review/standin/KeeperBack.java
@@ -11,8 +11,8 @@
 
 /**
  * Three dispatchers, all of them keepers, with duties whose tasks must not run twice. One of them
- * is restarted; with trouble, another one's machine is lost with its directory as it comes back, and its replacement is
- * admitted as docs/operators/leases.md says.
+ * is killed and comes back; with trouble, another one's machine is then replaced, its directory is lost, and the
+ * replacement is admitted as docs/operators/leases.md says.
  */
 final class KeeperBack implements Worker.Script {
     private static final int DUTIES = 12;
@@ -141,6 +141,7 @@
         kill(a);
         Lab.sleep(DOWN_MS);
         lab.start(a);
+        lab.awaitReady(a);
         if (lab.trouble) {
             kill(b);
             delete(lab.folder.resolve("keeper2"));
