--- a/review/standin/KeeperBack.java
+++ b/review/standin/KeeperBack.java
@@ -17,7 +17,7 @@
 final class KeeperBack implements Worker.Script {
     private static final int DUTIES = 12;
     private static final String TERM = "10s";
-    private static final int DOWN_MS = 6_800;
+    private static final int DOWN_MS = 6_000;
     private static final double WAY_MS = 4;
 
     private final Lab lab;
