--- a/review/standin/LostObjects.java
+++ b/review/standin/LostObjects.java
@@ -9,19 +9,19 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Three dispatchers with leases and one duty of five objects, every second; six workers; clients. With trouble,
+ * Three dispatchers with leases and one duty of ten objects, every two seconds; six workers; clients. With trouble,
  * the clients' traffic jumps for some seconds, twice. Each run that began has to do all its objects.
  */
 final class LostObjects implements Worker.Script {
     private static final int DISPATCHERS = 3;
-    private static final int OBJECTS = 5;
-    private static final double USUAL_PER_SECOND = 60;
+    private static final int OBJECTS = 10;
+    private static final double USUAL_PER_SECOND = 55;
     private static final double JUMP = 2.5;
-    private static final int JUMP_MS = 6_000;
+    private static final int JUMP_MS = 8_000;
     private static final int FIRST_JUMP_MS = 6_000;
-    private static final int SECOND_JUMP_MS = 34_000;
-    private static final int LOAD_MS = 44_000;
-    private static final int AFTER_MS = 25_000;
+    private static final int SECOND_JUMP_MS = 48_000;
+    private static final int LOAD_MS = 58_000;
+    private static final int AFTER_MS = 20_000;
 
     private final Lab lab;
     private final AtomicInteger asked = new AtomicInteger();
@@ -111,8 +111,8 @@
         for (int i = 0; i < DISPATCHERS; i++) {
             Files.writeString(all.get(i).operator, Lab.operatorFile(lab.folder, i, ports, "10s")
                     + "ledger = '" + lab.folder.resolve("leases" + i + ".ledger") + "'\n"
-                    + "[[duty]]\nname = \"sweep\"\ntype = \"resolve\"\nevery = \"1s\"\nobjects = " + OBJECTS
-                    + "\nrate = 50\ntarget = \"/api/resolve/{object}\"\n");
+                    + "[[duty]]\nname = \"sweep\"\ntype = \"resolve\"\nevery = \"2s\"\nobjects = " + OBJECTS
+                    + "\nrate = 10\ntarget = \"/api/resolve/{object}\"\n");
             lab.start(all.get(i));
         }
         for (Lab.Dispatcher dispatcher : all) {
