--- a/review/standin/NeverEnding.java
+++ b/review/standin/NeverEnding.java
@@ -94,6 +94,7 @@
                 try {
                     out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
                     chunk(out, line + "started\"}\n");
+                    lab.record.line("%s runs %s", uid, txn);
                     Lab.sleep(100 + 100 * draw());
                 } finally {
                     slots.release();
@@ -130,6 +131,7 @@
         }
         String txn = String.format("%016x", 0x7500000000000000L + number);
         double end = Record.now() + EXPIRY_S[type] * 1000 + GRACE_MS;
+        lab.record.line("a client sends %s (%s)", txn, TYPES[type]);
         String status = "none";
         try {
             Socket kept = idle.poll();
