Incomplete responses of workers share one memory limit

Cause: each attempt kept up to 64 KiB of an unfinished line, and nothing counted these lines. A heap dump in the case, 18 s after the trouble began, shows 28.5 MB of objects in a heap of 28 MB, 18.2 MB of them in 282 lines of ProgressReader; requests held 2.3 MB twice and idle parts some 5 MB, so neither bodies nor connections were it. A head of a response could hold 64 fields of 8 KB, 512 KB, which were not counted either.

Change: MemoryBudget counts what is held of incomplete responses (line, head, health check body) for all workers together, 8% of memory_mb. Beyond it the response that has been incomplete for the longest time is dropped: one that stalls holds memory for longer than one that arrives. Its attempt has timed out, so it may have run, and the policy decides at once. A head is limited to 16 KB, and buffers release what they grew by.

--- a/src/main/java/rampshift/connections/BoundedBuffer.java
+++ b/src/main/java/rampshift/connections/BoundedBuffer.java
@@ -3,21 +3,27 @@
 import java.nio.charset.Charset;
 import java.util.Arrays;
 
-/** A byte array that grows as needed, up to a fixed limit. Not thread-safe. */
+/**
+ * A byte array that grows as needed, up to a fixed limit, and is allocated while it holds bytes. Not
+ * thread-safe.
+ */
 public final class BoundedBuffer {
+    private static final byte[] EMPTY = {};
+
+    private final int initialCapacity;
     private final int limit;
-    private byte[] bytes;
+    private byte[] bytes = EMPTY;
     private int length;
 
     /**
      * Creates an empty buffer.
      *
-     * @param initialCapacity the initial capacity in bytes
+     * @param initialCapacity the capacity from the first byte on, in bytes
      * @param limit the maximum number of bytes that the buffer may hold
      */
     public BoundedBuffer(int initialCapacity, int limit) {
+        this.initialCapacity = initialCapacity;
         this.limit = limit;
-        bytes = new byte[initialCapacity];
     }
 
     /**
@@ -44,7 +50,8 @@
 
     private void ensureCapacity(int needed) {
         if (needed > bytes.length) {
-            bytes = Arrays.copyOf(bytes, Math.min(limit, Math.max(needed, bytes.length * 2)));
+            int enlarged = Math.max(initialCapacity, bytes.length * 2);
+            bytes = Arrays.copyOf(bytes, Math.min(limit, Math.max(needed, enlarged)));
         }
     }
 
@@ -58,6 +65,11 @@
         return length;
     }
 
+    /** Returns the memory that the buffer holds, in bytes; 0 if it is empty. */
+    public int heldBytes() {
+        return length == 0 ? 0 : bytes.length;
+    }
+
     /** Returns whether the last byte in the buffer has this value; false for an empty buffer. */
     public boolean endsWith(byte value) {
         return length > 0 && bytes[length - 1] == value;
@@ -68,9 +80,12 @@
         length--;
     }
 
-    /** Removes all bytes and keeps the capacity. */
+    /** Removes all bytes, and releases the capacity beyond the initial one. */
     public void clear() {
         length = 0;
+        if (bytes.length > initialCapacity) {
+            bytes = EMPTY;
+        }
     }
 
     /** Decodes the bytes in the buffer. */
--- a/src/main/java/rampshift/connections/ExchangeListener.java
+++ b/src/main/java/rampshift/connections/ExchangeListener.java
@@ -43,6 +43,14 @@
      */
     default void onBody(byte[] bytes, int offset, int length) {}
 
+    /**
+     * Called after each piece of an incomplete response was parsed, with the memory that the connection holds
+     * of it; what the listener itself has kept of the body is not included.
+     *
+     * @param bytes the memory in bytes: an unfinished line, or the header fields before {@link #onHead}
+     */
+    default void onMemoryHeld(int bytes) {}
+
     /** Called when the whole response has arrived. */
     void onComplete();
 
--- a/src/main/java/rampshift/connections/HttpConnection.java
+++ b/src/main/java/rampshift/connections/HttpConnection.java
@@ -180,7 +180,11 @@
         }
         try {
             int consumed = reader.read(bytes, 0, count, listener);
-            if (closed || !reader.isComplete()) {
+            if (closed) {
+                return;
+            }
+            if (!reader.isComplete()) {
+                listener.onMemoryHeld(reader.heldBytes());
                 return;
             }
             // Bytes after the response leave the connection in an unknown state.
--- a/src/main/java/rampshift/connections/ResponseHead.java
+++ b/src/main/java/rampshift/connections/ResponseHead.java
@@ -5,9 +5,13 @@
 
 /** The status and the header fields of a response. */
 public final class ResponseHead {
+    /** The memory for the two strings of a field, beside their characters. */
+    private static final int FIELD_OVERHEAD_BYTES = 128;
+
     private final int minorVersion;
     private final int status;
     private final List<HeaderField> fields = new ArrayList<>();
+    private int length;
 
     private record HeaderField(String name, String value) {
     }
@@ -25,6 +29,17 @@
 
     void add(String name, String value) {
         fields.add(new HeaderField(name, value));
+        length += name.length() + value.length();
+    }
+
+    /** Returns the number of characters of all fields. */
+    int length() {
+        return length;
+    }
+
+    /** Returns the memory that the fields take up, in bytes. */
+    int heldBytes() {
+        return length + fields.size() * FIELD_OVERHEAD_BYTES;
     }
 
     int minorVersion() {
--- a/src/main/java/rampshift/connections/ResponseReader.java
+++ b/src/main/java/rampshift/connections/ResponseReader.java
@@ -11,6 +11,8 @@
 final class ResponseReader {
     static final int MAX_LINE_BYTES = 8192;
     static final int MAX_HEADER_FIELDS = 64;
+    /** Maximum length of the status line and the header fields together. */
+    static final int MAX_HEAD_BYTES = 16 * 1024;
     private static final int INITIAL_LINE_BYTES = 256;
     private static final String VERSION_PREFIX = "HTTP/1.";
     private static final int STATUS_START = VERSION_PREFIX.length() + 2;
@@ -38,7 +40,9 @@
 
     private final BoundedBuffer line = new BoundedBuffer(INITIAL_LINE_BYTES, MAX_LINE_BYTES);
     private State state = State.STATUS_LINE;
+    /** The head while it is being read; null before and after that. */
     private ResponseHead head;
+    private boolean persistent;
     /** The number of header fields, trailer fields and interim responses so far. */
     private int fieldCount;
     /** The number of bytes of the fixed-length body, or of the current chunk, that have yet to arrive. */
@@ -55,6 +59,7 @@
         stopped = false;
         state = State.STATUS_LINE;
         head = null;
+        persistent = false;
         fieldCount = 0;
         line.clear();
     }
@@ -66,11 +71,12 @@
 
     /** Returns whether the response is complete and the peer leaves the connection open after it. */
     boolean isPersistent() {
-        if (state != State.COMPLETE || head.minorVersion() < 1) {
-            return false;
-        }
-        String connection = head.field("Connection");
-        return connection == null || !connection.equalsIgnoreCase("close");
+        return state == State.COMPLETE && persistent;
+    }
+
+    /** Returns the memory that is held of an incomplete response, in bytes. */
+    int heldBytes() {
+        return line.heldBytes() + (head == null ? 0 : head.heldBytes());
     }
 
     /** Returns whether the response is complete if the peer closes the connection now. */
@@ -182,6 +188,9 @@
         }
         countField("header fields");
         head.add(text.substring(0, colon).trim(), text.substring(colon + 1).trim());
+        if (head.length() > MAX_HEAD_BYTES) {
+            throw new MalformedResponseException("a head over " + MAX_HEAD_BYTES + " bytes");
+        }
     }
 
     private void countField(String countedItems) throws MalformedResponseException {
@@ -197,7 +206,16 @@
             return;
         }
         state = bodyState();
-        listener.onHead(head);
+        persistent = keepsConnectionOpen(head);
+        ResponseHead complete = head;
+        head = null;
+        listener.onHead(complete);
+    }
+
+    private static boolean keepsConnectionOpen(ResponseHead head) {
+        String connection = head.field("Connection");
+        boolean closes = connection != null && connection.equalsIgnoreCase("close");
+        return head.minorVersion() >= 1 && !closes;
     }
 
     private void endInterimResponse() throws MalformedResponseException {
--- a/src/main/java/rampshift/counters/Counters.java
+++ b/src/main/java/rampshift/counters/Counters.java
@@ -70,6 +70,8 @@
         OUTCOME_NOT_SENT,
         /** Invalid statuses, lines and load reports in the responses to attempts. */
         MALFORMED_RESPONSES("odd_answers"),
+        /** Incomplete responses of workers that were dropped, since the memory for them was exhausted. */
+        RESPONSES_DROPPED,
         /** Health checks that were sent. */
         HEALTH_CHECKS("probes"),
         /** Health checks that were answered. */
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -53,7 +53,8 @@
         ResourceLimits limits = ResourceLimits.of(configuration, host, extensionDescriptors);
         longestDeadline = settings.types.stream().map(TrafficType::timeout).reduce(Span.ZERO, Span::orLonger);
         drainGrace = settings.drainGrace;
-        pool = new ConnectionPool(thread, dialer, clock, host, counters, limits.workerConnections());
+        pool = new ConnectionPool(thread, dialer, clock, host, counters, limits.workerConnections(),
+                limits.responseBytes());
         tasks = new TaskRegistry();
         Responder responder = new Responder(counters);
         AttemptSender sender = new AttemptSender(pool, clock, counters);
--- a/src/main/java/rampshift/serve/DispatcherServer.java
+++ b/src/main/java/rampshift/serve/DispatcherServer.java
@@ -112,7 +112,7 @@
         extension.start(worker, thread, clock, configuration,
                 changes -> dispatcher.policyHost.onEndpointList(changes, false));
         watch.start();
-        Log.info("started", "name", configuration.name(), "listen", configuration.listen());
+        Log.info("started", "name", configuration.name(), "listen", address());
         new WarmUp(thread, buffers, clock, () -> counters.get(Counters.Name.TASKS_ADMITTED) == 0,
                 this::onWarmedUp).start();
     }
--- a/src/main/java/rampshift/serve/ResourceLimits.java
+++ b/src/main/java/rampshift/serve/ResourceLimits.java
@@ -13,10 +13,11 @@
  * @param inFlightTasks maximum number of tasks in flight
  * @param inFlightBytes maximum memory of tasks in flight, in bytes
  * @param receivingBytes maximum memory of requests that are being received, in bytes
+ * @param responseBytes maximum memory of incomplete responses of workers, in bytes
  */
 record ResourceLimits(int workerConnections, int clientConnections, int spareClientConnections,
         int inFlightTasks,
-        long inFlightBytes, long receivingBytes) {
+        long inFlightBytes, long receivingBytes, long responseBytes) {
 
     /** Descriptors reserved for the JVM, its files and discovery. */
     private static final int RESERVED_DESCRIPTORS = 64;
@@ -27,6 +28,7 @@
     private static final double SPARE_CLIENT_SHARE = 0.1;
     private static final double IN_FLIGHT_MEMORY_SHARE = 0.08;
     private static final double RECEIVING_MEMORY_SHARE = 0.08;
+    private static final double RESPONSE_MEMORY_SHARE = 0.08;
     private static final int BYTES_PER_MB = 1 << 20;
 
     /** Divides the limits of a configuration, less the descriptors that an extension uses. */
@@ -39,7 +41,8 @@
         int clients = allClients - spareClients;
         return new ResourceLimits(workers, clients, spareClients, Math.min(host.maxConnections(), clients),
                 memoryShare(configuration, IN_FLIGHT_MEMORY_SHARE),
-                memoryShare(configuration, RECEIVING_MEMORY_SHARE));
+                memoryShare(configuration, RECEIVING_MEMORY_SHARE),
+                memoryShare(configuration, RESPONSE_MEMORY_SHARE));
     }
 
     private static long memoryShare(Configuration configuration, double share) {
--- a/src/main/java/rampshift/workers/AttemptExchange.java
+++ b/src/main/java/rampshift/workers/AttemptExchange.java
@@ -201,6 +201,17 @@
         finish(AttemptOutcome.BROKEN);
     }
 
+    @Override
+    int heldBodyBytes() {
+        return progressReader.heldBytes();
+    }
+
+    /** Ends the attempt as one that this dispatcher has stopped waiting for: it may have run. */
+    @Override
+    void onResponseDropped() {
+        finish(AttemptOutcome.TIMED_OUT);
+    }
+
     private void handle(ProgressMessage message) {
         if (message == null) {
             return;
--- a/src/main/java/rampshift/workers/ConnectionPool.java
+++ b/src/main/java/rampshift/workers/ConnectionPool.java
@@ -5,6 +5,7 @@
 import org.xnio.XnioIoThread;
 import rampshift.connections.Dialer;
 import rampshift.connections.HttpConnection;
+import rampshift.connections.MemoryBudget;
 import rampshift.counters.Counters;
 import rampshift.settings.HostSettings;
 import rampshift.time.Clock;
@@ -33,6 +34,7 @@
     private final Clock clock;
     private final Dialer dialer;
     private final int maxConnections;
+    private final MemoryBudget responseMemory;
     private final LoadReportReader loadReportReader;
     private final Map<Long, WorkerEndpoint> endpoints = new HashMap<>();
     private final IdleConnectionCache idleConnections;
@@ -46,16 +48,17 @@
      * Creates a pool without workers.
      *
      * @param maxConnections the maximum number of connections to workers, including idle ones and dials
+     * @param maxResponseBytes the maximum memory for incomplete responses, in bytes
      */
     public ConnectionPool(XnioIoThread thread, Dialer dialer, Clock clock, HostSettings settings,
-            Counters counters,
-            int maxConnections) {
+            Counters counters, int maxConnections, long maxResponseBytes) {
         this.thread = thread;
         this.dialer = dialer;
         this.clock = clock;
         this.settings = settings;
         this.counters = counters;
         this.maxConnections = maxConnections;
+        responseMemory = new MemoryBudget(maxResponseBytes);
         loadReportReader = new LoadReportReader(settings.freeSlotsField(), settings.freeMemoryField());
         idleConnections = new IdleConnectionCache(endpoints.values(), clock, counters,
                 settings.connectionIdleTimeout().times(MAX_IDLE_SHARE));
@@ -150,6 +153,11 @@
         return loadReportReader;
     }
 
+    /** Returns the budget for the incomplete responses of all exchanges. */
+    MemoryBudget responseMemory() {
+        return responseMemory;
+    }
+
     LingeringExchanges lingeringExchanges() {
         return lingeringExchanges;
     }
--- a/src/main/java/rampshift/workers/HealthCheck.java
+++ b/src/main/java/rampshift/workers/HealthCheck.java
@@ -57,6 +57,16 @@
         body.appendTruncated(bytes, offset, length);
     }
 
+    @Override
+    int heldBodyBytes() {
+        return body.heldBytes();
+    }
+
+    @Override
+    void onResponseDropped() {
+        finishUnhealthy();
+    }
+
     @Override
     public void onComplete() {
         LoadReport load = null;
--- a/src/main/java/rampshift/workers/ProgressReader.java
+++ b/src/main/java/rampshift/workers/ProgressReader.java
@@ -42,16 +42,26 @@
      * @throws MalformedProgressException if the line is not a JSON object, or about another task
      */
     ProgressMessage endLine() throws MalformedProgressException {
-        int length = line.length();
-        boolean blank = length == 0 || (length == 1 && line.endsWith((byte) '\r'));
-        line.clear();
-        return blank ? null : parse(length);
+        try {
+            return isBlank() ? null : parse();
+        } finally {
+            line.clear();
+        }
+    }
+
+    /** Returns the memory that is held of an unfinished line, in bytes. */
+    int heldBytes() {
+        return line.heldBytes();
+    }
+
+    private boolean isBlank() {
+        return line.length() == 0 || (line.length() == 1 && line.endsWith((byte) '\r'));
     }
 
-    private ProgressMessage parse(int length) throws MalformedProgressException {
+    private ProgressMessage parse() throws MalformedProgressException {
         ProgressMessage message;
         try {
-            message = ProgressMessageParser.parse(line.array(), length, loadReportReader);
+            message = ProgressMessageParser.parse(line.array(), line.length(), loadReportReader);
         } catch (IOException e) {
             throw new MalformedProgressException("a line that is not a JSON object", AttemptOutcome.BROKEN);
         }
--- a/src/main/java/rampshift/workers/WorkerExchange.java
+++ b/src/main/java/rampshift/workers/WorkerExchange.java
@@ -4,17 +4,20 @@
 import rampshift.connections.Dialer;
 import rampshift.connections.ExchangeListener;
 import rampshift.connections.HttpConnection;
+import rampshift.connections.MemoryBudget;
+import rampshift.counters.Counters;
 import rampshift.log.Log;
 import rampshift.time.Span;
 
 /**
  * A request to a worker and its response. It borrows a connection from the pool, or dials one, and returns it
  * once, in {@link #release}. Its result is reported once; the rest of the response after that is read and
- * discarded.
+ * discarded. What is kept of an incomplete response counts against the budget of all exchanges.
  */
 abstract class WorkerExchange implements ExchangeListener, Dialer.DialListener {
     private final ConnectionPool pool;
     private final WorkerEndpoint endpoint;
+    private final MemoryBudget.Reservation reservation;
     private Dialer.Dial dial;
     private HttpConnection connection;
     private boolean connectionReused;
@@ -24,6 +27,7 @@
     WorkerExchange(ConnectionPool pool, WorkerEndpoint endpoint) {
         this.pool = pool;
         this.endpoint = endpoint;
+        reservation = pool.responseMemory().newReservation(this::evict);
     }
 
     /** Creates the whole HTTP request; called just before it is written. */
@@ -32,6 +36,12 @@
     /** Called if the pool has reached its limit of connections, or if the worker has no address. */
     abstract void onNoConnectionAvailable();
 
+    /** Returns the memory that this exchange holds of the body of an incomplete response, in bytes. */
+    abstract int heldBodyBytes();
+
+    /** Ends the exchange, since its incomplete response was dropped. */
+    abstract void onResponseDropped();
+
     /** Returns whether the request must not be sent over an idle connection. */
     boolean requiresNewConnection() {
         return false;
@@ -79,6 +89,24 @@
         connection.exchange(this, lastByteDelay(), this::message);
     }
 
+    @Override
+    public final void onMemoryHeld(int bytes) {
+        if (!reservation.resize(bytes + heldBodyBytes())) {
+            evict();
+        }
+    }
+
+    /**
+     * Drops the incomplete response of this exchange, since the responses of all workers exceed their memory
+     * and this one has been incomplete for the longest time.
+     */
+    private void evict() {
+        pool.counters().add(Counters.Name.RESPONSES_DROPPED);
+        Log.warn("response-dropped", "worker", endpoint.uid(), "why",
+                "incomplete for the longest time while the memory for responses is exhausted");
+        onResponseDropped();
+    }
+
     /**
      * Returns whether the connection leads to the worker that is listed now: the worker has not moved,
      * restarted or changed its placement since the exchange started.
@@ -133,6 +161,7 @@
             dial.cancel();
             dial = null;
         }
+        reservation.release();
         if (connection != null) {
             HttpConnection released = connection;
             connection = null;
--- a/src/test/java/rampshift/connections/BoundedBufferTest.java
+++ b/src/test/java/rampshift/connections/BoundedBufferTest.java
@@ -44,4 +44,16 @@
         buffer.clear();
         assertEquals("", text());
     }
+
+    @Test
+    void holdsNoMemoryWhileItIsEmptyAndAtMostItsLimit() {
+        assertEquals(0, buffer.heldBytes());
+        buffer.append((byte) 'x');
+        assertEquals(2, buffer.heldBytes());
+        buffer.appendTruncated(TEXT, 0, 4);
+        assertEquals(5, buffer.heldBytes());
+        buffer.clear();
+        assertEquals(0, buffer.heldBytes());
+        assertEquals(0, buffer.array().length, "the enlarged array is released");
+    }
 }
--- a/src/test/java/rampshift/connections/ResponseReaderTest.java
+++ b/src/test/java/rampshift/connections/ResponseReaderTest.java
@@ -78,6 +78,22 @@
         assertMalformed("HTTP/1.1 200 OK\r\nA: " + "a".repeat(ResponseReader.MAX_LINE_BYTES));
         assertMalformed("HTTP/1.1 200 OK\r\n" + "a: b\r\n".repeat(ResponseReader.MAX_HEADER_FIELDS + 1));
         assertMalformed("HTTP/1.1 100 x\r\n\r\n".repeat(ResponseReader.MAX_HEADER_FIELDS + 1));
+        assertMalformed("HTTP/1.1 200 OK\r\n"
+                + ("a: " + "b".repeat(ResponseReader.MAX_LINE_BYTES / 2) + "\r\n").repeat(4));
+    }
+
+    @Test
+    void holdsMemoryOnlyForAnUnfinishedLineAndAnUnfinishedHead() throws Exception {
+        reader.begin();
+        read("HTTP/1.1 200 OK\r\na: " + "b".repeat(5_000) + "\r\n");
+        int head = reader.heldBytes();
+        assertTrue(head > 5_000 && head < 5_500, head + " bytes");
+        read("a: " + "b".repeat(3_000));
+        assertTrue(reader.heldBytes() >= head + 3_000);
+        read("\r\nContent-Length: 3\r\n\r\nab");
+        assertEquals(0, reader.heldBytes());
+        read("c");
+        assertTrue(reader.isPersistent());
     }
 
     @Override
--- a/src/test/java/rampshift/workers/ConnectionPoolFixture.java
+++ b/src/test/java/rampshift/workers/ConnectionPoolFixture.java
@@ -34,6 +34,8 @@
 abstract class ConnectionPoolFixture {
     static final InetSocketAddress ADDRESS = InetSocketAddress.createUnresolved("worker", 1);
     static final String EMPTY_ERROR_RESPONSE = "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n";
+    /** The memory for incomplete responses: that of two of the longest lines. */
+    static final int MAX_RESPONSE_BYTES = 128 * 1024;
     private static final double LONG_DIAL_TIMEOUT_MS = 20_000;
     private static final double LONG_IDLE_TIMEOUT_MS = 60_000;
 
@@ -75,7 +77,8 @@
         runOnThread(() -> {
             HostSettings settings = new HostSettings(List.of(), List.of(), List.of(), List.of(),
                     Span.ofMillis(dialTimeoutMs), Span.ofMillis(idleTimeoutMs), 100, "x0", "x1");
-            pool = new ConnectionPool(thread, dialer, new Clock(), settings, counters, maxConnections);
+            pool = new ConnectionPool(thread, dialer, new Clock(), settings, counters, maxConnections,
+                    MAX_RESPONSE_BYTES);
             listWorker(ADDRESS, "a/m", 0, true);
         });
     }
--- a/src/test/java/rampshift/workers/ConnectionPoolTest.java
+++ b/src/test/java/rampshift/workers/ConnectionPoolTest.java
@@ -305,6 +305,34 @@
         }
     }
 
+    /**
+     * Guards against unlimited memory for incomplete responses: without a limit for all of them together, the
+     * heap is exhausted and the I/O thread ends.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nX-Endless: ", "HTTP/1.1 200 OK\r\n\r\n"})
+    void theResponseThatIsIncompleteForTheLongestTimeIsDropped(String begin) throws Exception {
+        createPool(40, 20_000, 60_000);
+        String half = begin + "x".repeat(7_000);
+        int responses = 2 * MAX_RESPONSE_BYTES / 8192;
+        for (int i = 0; i < responses; i++) {
+            startIdempotentAttempt();
+            write(connect(i).getRightSide(), half);
+            int inFlight = i + 1 - responses / 2;
+            until("dropped down to the limit", () -> outcomes.size() == Math.max(0, inFlight));
+        }
+        assertEquals(Collections.nCopies(responses / 2, AttemptOutcome.TIMED_OUT), outcomes);
+        startIdempotentAttempt();
+        write(connect(responses).getRightSide(), chunked("{\"id\":\"t\",\"state\":\"done\"}\n"));
+        until("a sound response", () -> outcomes.contains(AttemptOutcome.FINISHED));
+        runOnThread(() -> {
+            assertEquals(MAX_RESPONSE_BYTES, pool.responseMemory().reservedBytes());
+            assertEquals(responses / 2, counters.get(Counters.Name.RESPONSES_DROPPED));
+            assertEquals(responses / 2 + 1, dialer.openCount(),
+                    "connections of dropped responses are closed");
+        });
+    }
+
     /** A last line without an id may be about the previous task. */
     @ParameterizedTest
     @CsvSource({"returned", "done", "lost"})
