The process ends once its I/O thread has ended or its memory is exhausted

Cause: XNIO's thread is a daemon, and the main thread waits for SIGHUP for good. An error in the selector (log: ClosedSelectorException after OutOfMemoryErrors) ends the I/O thread alone, and the kernel accepts further connections. Errors in listeners are caught by XNIO and logged (XNIO001007), so what the listener was doing is left half done.

Change: serve watches the I/O thread and halts with status 1 if it ends without a stop; a graceful shutdown would wait for that thread. serve.sh lets the JVM exit with status 3 at an OutOfMemoryError. The kernel then resets the clients, and the platform can start the dispatcher anew.

--- a/deploy/serve.sh
+++ b/deploy/serve.sh
@@ -37,9 +37,11 @@
 [ "$direct" -ge 4 ] || direct=4
 least=24
 [ "$heap" -ge 24 ] || least=$heap
+# After an OutOfMemoryError on the I/O thread a task may be left without an answer: the process ends instead.
 # Without its archive of classes a start takes twice the CPU. Of an unfit one the JVM warns, not of a missing one.
 [ -r target/rampshift.jsa ] || tell "archive: target/rampshift.jsa is missing, the start is slow"
 exec java -XX:+UseSerialGC -XX:-UsePerfData -XX:TieredStopAtLevel=1 -Xshare:auto \
+    -XX:+ExitOnOutOfMemoryError \
     -XX:SharedArchiveFile=target/rampshift.jsa -Xlog:disable -Xlog:all=warning:stderr \
     "-Xms${least}m" "-Xmx${heap}m" "-XX:MaxDirectMemorySize=${direct}m" -XX:ReservedCodeCacheSize=24m \
     -jar target/rampshift.jar serve
--- a/src/main/java/rampshift/ServeCommand.java
+++ b/src/main/java/rampshift/ServeCommand.java
@@ -39,7 +39,23 @@
         // time would otherwise lose their tasks.
         Runtime.getRuntime().addShutdownHook(shutdownHook(start));
         start.run();
-        reloadUntilEnd(started(start));
+        DispatcherServer server = started(start);
+        server.onThreadFailure(ServeCommand::exitAtOnce);
+        reloadUntilEnd(server);
+    }
+
+    /**
+     * Ends the process without a graceful shutdown. Without its I/O thread it can serve nobody, but the
+     * kernel would go on accepting connections for it: clients get a reset now, and the platform can start it
+     * anew.
+     */
+    private static void exitAtOnce() {
+        try {
+            Log.error("io-thread-ended", "exit", ExitStatus.FAILED);
+            Log.flush();
+        } finally {
+            Runtime.getRuntime().halt(ExitStatus.FAILED);
+        }
     }
 
     private DispatcherServer start(Configuration configuration) throws IOException {
--- a/src/main/java/rampshift/serve/DispatcherServer.java
+++ b/src/main/java/rampshift/serve/DispatcherServer.java
@@ -190,6 +190,29 @@
         });
     }
 
+    /**
+     * Runs an action, on a thread of its own, once the I/O thread has ended for any other reason than {@link
+     * #stop()}, such as an error in the selector. Without the I/O thread nothing is served any more.
+     */
+    public void onThreadFailure(Runnable action) {
+        Thread watcher = new Thread(() -> {
+            joinIoThread();
+            if (!isStopped()) {
+                action.run();
+            }
+        }, "io-watch");
+        watcher.setDaemon(true);
+        watcher.start();
+    }
+
+    private void joinIoThread() {
+        try {
+            thread.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the hook that runs before the first byte of each request to a worker. */
     Runnable firstByteHook() {
         return watch::readPending;
--- a/src/main/java/rampshift/testbed/experiment/ProcessCommands.java
+++ b/src/main/java/rampshift/testbed/experiment/ProcessCommands.java
@@ -76,6 +76,7 @@
                 Math.min(MAX_HEAP_MB, Math.max(MIN_HEAP_MB, memoryMb * HEAP_NUMERATOR / HEAP_DENOMINATOR));
         int directMemoryMb = Math.max(MIN_DIRECT_MEMORY_MB, memoryMb / DIRECT_MEMORY_DENOMINATOR);
         return List.of("-XX:+UseSerialGC", "-XX:-UsePerfData", "-XX:TieredStopAtLevel=1", "-Xshare:auto",
+                "-XX:+ExitOnOutOfMemoryError",
                 "-Xms" + Math.min(MAX_INITIAL_HEAP_MB, heapMb) + "m", "-Xmx" + heapMb + "m",
                 "-XX:MaxDirectMemorySize=" + directMemoryMb + "m", "-XX:ReservedCodeCacheSize=24m",
                 "-Xlog:cds=off", "-Xlog:cds+dynamic=off");
--- a/src/test/java/rampshift/ServeProcess.java
+++ b/src/test/java/rampshift/ServeProcess.java
@@ -20,7 +20,7 @@
                 shift
                 case "$argument" in
                     -jar) set -- "$@" -cp ;;
-                    target/rampshift.jar) set -- "$@" "$TEST_CLASS_PATH" rampshift.Main ;;
+                    target/rampshift.jar) set -- "$@" "$TEST_CLASS_PATH" "$TEST_MAIN_CLASS" ;;
                     -XX:SharedArchiveFile=*) ;;
                     *) set -- "$@" "$argument" ;;
                 esac
@@ -36,6 +36,11 @@
 
     /** Starts a dispatcher without a discovery agent in an empty folder, and waits until it is ready. */
     public ServeProcess(Path folder, String limits, String... entries) throws Exception {
+        this(Main.class, folder, limits, entries);
+    }
+
+    /** Starts a dispatcher by another main class. */
+    ServeProcess(Class<?> mainClass, Path folder, String limits, String... entries) throws Exception {
         log = folder.resolve("log");
         Path config = folder.resolve("config.json");
         Files.writeString(config, TestPeers.configuration(null, TestPeers.list(true, entries), limits));
@@ -47,6 +52,7 @@
         builder.environment().put("NODE_CONFIG", config.toString());
         builder.environment().put("PATH", folder + ":" + System.getenv("PATH"));
         builder.environment().put("TEST_CLASS_PATH", System.getProperty("java.class.path"));
+        builder.environment().put("TEST_MAIN_CLASS", mainClass.getName());
         builder.environment().put("TEST_JAVA",
                 Path.of(System.getProperty("java.home"), "bin", "java").toString());
         process = builder.start();
