Memory that clients make a dispatcher hold is counted as it is, and fits the heap

Cause: ReceiveBudget counted declared bodies alone. Not counted were heads and their fields, the framing of chunked bodies, buffers grown to twice their content, the objects of small pieces of pipelined input (single bytes take up a hundred times as much), input that was read before its connection was rejected, results that clients do not read, and header fields in the HTTP server. A request was held twice while its task was in flight (2.3 of 28 MB in the heap dump).

Change: MemoryBudget takes ReceiveBudget's place and counts all of these. Bodies are pinned, as before: a newcomer is rejected rather than one that sends slowly. Incomplete heads and unread responses give way, the longest first. Limits follow from the heap.

--- a/src/main/java/rampshift/clients/ClientConnection.java
+++ b/src/main/java/rampshift/clients/ClientConnection.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.StreamConnection;
+import org.xnio.IoUtils;
 import org.xnio.conduits.StreamSourceConduit;
+import rampshift.connections.MemoryBudget;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -13,8 +15,9 @@
     private final StreamSourceConduit socket;
     private final ConnectionEvents events;
     private final ReadContext context;
-    private final ReceiveBudget.Reservation reservation;
     private final RequestInput input;
+    /** The memory of the response that is being written. */
+    private final MemoryBudget.Reservation responseReservation;
     /**
      * Start of the current phase (connected, idle, receiving a request or closing), from which the time
      * limits of the connection count.
@@ -39,14 +42,13 @@
      * @param acceptedAt the earliest time at which the first bytes may have arrived
      */
     ClientConnection(StreamConnection channel, ConnectionEvents events, ReadContext context,
-            ReceiveBudget budget,
-            Moment acceptedAt) {
+            ClientLimits limits, Moment acceptedAt) {
         this.channel = channel;
         this.events = events;
         this.context = context;
         socket = channel.getSourceChannel().getConduit();
-        reservation = budget.newReservation();
-        input = new RequestInput(this, socket, events, context, reservation, acceptedAt);
+        input = new RequestInput(this, socket, events, context, limits.receivingMemory(), acceptedAt);
+        responseReservation = limits.responseMemory().newReservation(() -> IoUtils.safeClose(channel));
         phaseStart = context.now();
         channel.getSourceChannel().setConduit(new RequestConduit(this, socket));
     }
@@ -57,7 +59,23 @@
 
     /** Releases the memory that is reserved for input. */
     void releaseMemory() {
-        reservation.release();
+        input.releaseMemory();
+    }
+
+    /**
+     * Reserves memory for a response that is about to be written. The connection is closed if the memory is
+     * exhausted while its client has been reading for the longest time.
+     */
+    void responseStarted(int bytes) {
+        if (!responseReservation.resize(bytes)) {
+            IoUtils.safeClose(channel);
+        }
+    }
+
+    /** Releases all memory that is reserved for the connection, since it is closed. */
+    void closed() {
+        releaseMemory();
+        responseReservation.release();
     }
 
     // ---- state
@@ -194,6 +212,7 @@
      * connection starts to close.
      */
     void responseSent(boolean last) {
+        responseReservation.release();
         input.clearRequest();
         phaseStart = context.now();
         if (last) {
@@ -206,7 +225,7 @@
     void startClosing() {
         closing = true;
         input.clearRequest();
-        input.dropPipelinedInput();
+        input.dropInput();
         phaseStart = context.now();
         lastInputAt = phaseStart;
         events.stateChanged(this);
--- a/src/main/java/rampshift/clients/ClientLimits.java
+++ b/src/main/java/rampshift/clients/ClientLimits.java
@@ -1,5 +1,6 @@
 package rampshift.clients;
 
+import rampshift.connections.MemoryBudget;
 import rampshift.time.Span;
 
 /**
@@ -9,10 +10,12 @@
  * @param extraConnections how many more are accepted when no connection can be closed; while there are
  *     more than {@code connections}, connections are closed after their responses; clients beyond the sum of
  *     both numbers wait in the kernel's backlog
- * @param receivingBytes maximum memory for requests that are being received, in bytes
+ * @param receivingMemory the memory for requests that are being received
+ * @param responseMemory the memory for responses that are being written
  * @param idleTime maximum time for which a connection stays open between tasks
  */
-public record ClientLimits(int connections, int extraConnections, long receivingBytes, Span idleTime) {
+public record ClientLimits(int connections, int extraConnections, MemoryBudget receivingMemory,
+        MemoryBudget responseMemory, Span idleTime) {
     /** Returns the maximum number of accepted connections. */
     int allConnections() {
         return connections + extraConnections;
--- a/src/main/java/rampshift/clients/ClientListener.java
+++ b/src/main/java/rampshift/clients/ClientListener.java
@@ -27,7 +27,6 @@
     private final ClientLimits limits;
     private final EarlyRejection earlyRejection;
     private final ReadContext context;
-    private final ReceiveBudget receiveBudget;
     private final TickBudget tick;
     private final ConnectionTable table;
     private final ConnectionCloser closer;
@@ -108,7 +107,6 @@
         this.limits = limits;
         this.earlyRejection = earlyRejection;
         context = new ReadContext(clock, maxUnreadTime);
-        receiveBudget = new ReceiveBudget(limits.receivingBytes());
         tick = new TickBudget(thread, clock, this::onNextTick);
         table = new ConnectionTable(clock);
         closer = new ConnectionCloser(table, tick);
@@ -201,7 +199,7 @@
 
     private void serve(StreamConnection channel, Moment firstBytesAt) {
         counters.add(Counters.Name.CLIENT_CONNECTIONS);
-        table.add(new ClientConnection(channel, events, context, receiveBudget, firstBytesAt));
+        table.add(new ClientConnection(channel, events, context, limits, firstBytesAt));
         limiter.closeExcess();
         receiver.serve(channel);
     }
--- a/src/main/java/rampshift/clients/ClientRequest.java
+++ b/src/main/java/rampshift/clients/ClientRequest.java
@@ -33,6 +33,9 @@
      */
     private static final Span POLL_INTERVAL = Span.ofMillis(20);
 
+    /** The memory for the strings of a header field in the HTTP server, beside their characters. */
+    private static final int FIELD_OVERHEAD_BYTES = 200;
+
     private final Clock clock;
     private final BooleanSupplier closeAfterResponse;
     private final ClientConnection connection;
@@ -92,6 +95,17 @@
         return exchange.getRequestHeaders().contains(name);
     }
 
+    /** Returns the memory that the head of the request takes up, in bytes. */
+    public int heldHeadBytes() {
+        int bytes = exchange.getRequestURI().length() + exchange.getQueryString().length();
+        for (HeaderValues values : exchange.getRequestHeaders()) {
+            for (String value : values) {
+                bytes += FIELD_OVERHEAD_BYTES + 2 * values.getHeaderName().length() + value.length();
+            }
+        }
+        return bytes;
+    }
+
     /**
      * Appends the lines of the header fields that are forwarded to a worker, except the field of this name.
      */
@@ -193,6 +207,7 @@
             exchange.setPersistent(false);
         }
         exchange.setResponseContentLength(responseBody.length);
+        connection.responseStarted(responseBody.length);
         exchange.getResponseSender().send(ByteBuffer.wrap(responseBody));
         return true;
     }
--- a/src/main/java/rampshift/clients/ConnectionCloser.java
+++ b/src/main/java/rampshift/clients/ConnectionCloser.java
@@ -27,7 +27,7 @@
     void forget(ClientConnection connection) {
         tick.cancelInput(connection);
         table.remove(connection);
-        connection.releaseMemory();
+        connection.closed();
     }
 
     /**
--- a/src/main/java/rampshift/clients/PipelinedInput.java
+++ b/src/main/java/rampshift/clients/PipelinedInput.java
@@ -6,8 +6,11 @@
 
 /** The bytes that a client has sent after a complete request, each piece with its arrival time. */
 final class PipelinedInput {
+    /** The memory for the objects of a piece, beside its bytes. */
+    private static final int PIECE_OVERHEAD_BYTES = 128;
+
     private final ArrayDeque<Piece> pieces = new ArrayDeque<>();
-    private int byteCount;
+    private int heldBytes;
 
     /** A piece of input, and the earliest time at which it may have arrived. */
     private record Piece(ByteBuffer bytes, Moment arrivedAt) {}
@@ -15,7 +18,7 @@
     /** Adds a copy of the remaining bytes. */
     void add(ByteBuffer bytes, Moment arrivedAt) {
         if (bytes.hasRemaining()) {
-            byteCount += bytes.remaining();
+            heldBytes += heldBytesOf(bytes.remaining());
             ByteBuffer copy = ByteBuffer.allocate(bytes.remaining()).put(bytes).flip();
             pieces.add(new Piece(copy, arrivedAt));
         }
@@ -27,10 +30,9 @@
      */
     Moment readFirstPiece(RequestReader reader) throws InvalidRequestException {
         Piece piece = pieces.peek();
-        int before = piece.bytes().remaining();
         reader.read(piece.bytes());
-        byteCount -= before - piece.bytes().remaining();
         if (!piece.bytes().hasRemaining()) {
+            heldBytes -= heldBytesOf(piece.bytes().capacity());
             pieces.poll();
         }
         return piece.arrivedAt();
@@ -38,14 +40,23 @@
 
     void clear() {
         pieces.clear();
-        byteCount = 0;
+        heldBytes = 0;
     }
 
     boolean isEmpty() {
         return pieces.isEmpty();
     }
 
-    int byteCount() {
-        return byteCount;
+    /** Returns the memory that the pieces take up, in bytes. */
+    int heldBytes() {
+        return heldBytes;
+    }
+
+    /**
+     * Returns the memory that a piece of input would take up, in bytes. A client that sends single bytes
+     * makes as many pieces of them.
+     */
+    static int heldBytesOf(int byteCount) {
+        return byteCount + PIECE_OVERHEAD_BYTES;
     }
 }
--- a/src/main/java/rampshift/clients/RequestHead.java
+++ b/src/main/java/rampshift/clients/RequestHead.java
@@ -10,6 +10,8 @@
 public final class RequestHead {
     /** Maximum number of header fields and trailer fields of one request together. */
     static final int MAX_FIELDS = 64;
+    /** The memory for the strings and the map entry of a field, beside their characters. */
+    private static final int FIELD_OVERHEAD_BYTES = 160;
     private static final int MAX_LENGTH_DIGITS = 18;
     private static final int LAST_PRINTABLE_ASCII = '~';
     private static final String TOKEN_SYMBOLS = "!#$%&'*+-.^_`|~";
@@ -20,6 +22,7 @@
     /** Field values by name in lower case. */
     private final Map<String, String> fields = new HashMap<>();
     private int fieldCount;
+    private int fieldCharacters;
     private long contentLength = UNKNOWN_LENGTH;
     private boolean post;
     private boolean http10;
@@ -58,6 +61,7 @@
         String value = line.substring(colon + 1).trim();
         String name = line.substring(0, colon).toLowerCase(Locale.ROOT);
         fields.merge(name, value, (first, second) -> AMBIGUOUS);
+        fieldCharacters += line.length();
         switch (name) {
             case "content-length" -> contentLength(value);
             case "transfer-encoding" -> transferEncoding(value);
@@ -150,6 +154,11 @@
         return !http10 && (connection == null || connection.equalsIgnoreCase("keep-alive"));
     }
 
+    /** Returns the memory that the fields take up, in bytes. */
+    int heldBytes() {
+        return fieldCharacters + fields.size() * FIELD_OVERHEAD_BYTES;
+    }
+
     boolean isChunked() {
         return chunked;
     }
--- a/src/main/java/rampshift/clients/RequestInput.java
+++ b/src/main/java/rampshift/clients/RequestInput.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import org.xnio.conduits.StreamSourceConduit;
+import rampshift.connections.MemoryBudget;
 import rampshift.time.Moment;
 
 /**
@@ -12,12 +13,14 @@
 final class RequestInput {
     private static final int MAX_PIPELINED_BYTES = RequestReader.MAX_REQUEST_BYTES;
     private static final int MAX_READS_AHEAD = 16;
+    /** Takes the place of a request whose bytes the HTTP server has read, to release their memory. */
+    private static final ByteBuffer READ_REQUEST = ByteBuffer.allocate(0);
 
     private final ClientConnection connection;
     private final StreamSourceConduit socket;
     private final ConnectionEvents events;
     private final ReadContext context;
-    private final ReceiveBudget.Reservation reservation;
+    private final MemoryBudget.Reservation reservation;
     private final RequestReader reader = new RequestReader();
     private final PipelinedInput pipelined = new PipelinedInput();
     /** The request in flight; null if there is none. */
@@ -41,12 +44,12 @@
      * @param acceptedAt the earliest time at which the first bytes may have arrived
      */
     RequestInput(ClientConnection connection, StreamSourceConduit socket, ConnectionEvents events,
-            ReadContext context, ReceiveBudget.Reservation reservation, Moment acceptedAt) {
+            ReadContext context, MemoryBudget budget, Moment acceptedAt) {
         this.connection = connection;
         this.socket = socket;
         this.events = events;
         this.context = context;
-        this.reservation = reservation;
+        reservation = budget.newReservation(this::evict);
         nextArrivalTime = acceptedAt;
     }
 
@@ -75,7 +78,7 @@
      * connection.
      */
     void withholdRequest() {
-        request.position(request.limit());
+        request = READ_REQUEST;
         requestHead = null;
     }
 
@@ -86,6 +89,9 @@
         int limit = request.limit();
         to.put(request.limit(request.position() + count));
         request.limit(limit);
+        if (!request.hasRemaining()) {
+            request = READ_REQUEST;
+        }
         return count;
     }
 
@@ -130,8 +136,15 @@
         return reader.takeContinueExpected();
     }
 
-    void dropPipelinedInput() {
+    /** Drops all input that is not passed on yet. */
+    void dropInput() {
         pipelined.clear();
+        reader.takeRequest();
+    }
+
+    /** Releases the reservation of memory. */
+    void releaseMemory() {
+        reservation.release();
     }
 
     /**
@@ -202,25 +215,47 @@
      * flight was dropped since the memory for the input of all connections is exhausted.
      */
     private boolean reserveMemory() throws InvalidRequestException {
-        if (reservation.resize(reader.bodyBytesToReserve() + pipelined.byteCount())) {
+        if (reserve(pipelined.heldBytes())) {
             return true;
         }
         if (!hasRequest()) {
-            // Hundreds of clients that stall within large bodies would exhaust the memory.
-            throw new InvalidRequestException(503, "too many request bodies are being received");
+            throw memoryExhausted();
         }
         // The request in flight may already be executing, and is not rejected because of the next one.
         dropInputBehindRequest();
         return false;
     }
 
+    /**
+     * Reserves memory for the request that is being read and for the input after it. A body of which the head
+     * is complete keeps its memory, so that a client that sends slowly is not rejected halfway; a head may be
+     * evicted.
+     */
+    private boolean reserve(int pipelinedBytes) {
+        int bytes = reader.bytesToReserve() + pipelinedBytes;
+        return reader.isHeadComplete() ? reservation.resizeAndPin(bytes) : reservation.resize(bytes);
+    }
+
+    /** Hundreds of clients that stall within large requests would exhaust the memory. */
+    private static InvalidRequestException memoryExhausted() {
+        return new InvalidRequestException(503, "too many request bodies are being received");
+    }
+
+    private void evict() {
+        if (hasRequest()) {
+            dropInputBehindRequest();
+        } else {
+            events.invalidRequest(connection, memoryExhausted());
+        }
+    }
+
     private int deliverRequest() throws InvalidRequestException {
         requestHead = reader.head();
         request = reader.takeRequest();
         requestReceivedAt = lastArrivalTime;
         connection.requestReceived();
-        reservation.resize(pipelined.byteCount());
         readPipelinedInput();       // detects invalid input after this request before it is passed on
+        reserveMemory();
         return 0;
     }
 
@@ -246,9 +281,8 @@
     }
 
     private boolean canBuffer(int count) {
-        int pipelinedBytes = pipelined.byteCount() + count;
-        return pipelinedBytes <= MAX_PIPELINED_BYTES
-                && reservation.resize(reader.bodyBytesToReserve() + pipelinedBytes);
+        int pipelinedBytes = pipelined.heldBytes() + PipelinedInput.heldBytesOf(count);
+        return pipelinedBytes <= MAX_PIPELINED_BYTES && reserve(pipelinedBytes);
     }
 
     /**
@@ -257,8 +291,7 @@
      */
     private void dropInputBehindRequest() {
         pipelinedInputDropped = true;
-        pipelined.clear();
-        reader.takeRequest();
+        dropInput();
         events.pipelinedInputDropped(connection);
     }
 }
--- a/src/main/java/rampshift/clients/RequestReader.java
+++ b/src/main/java/rampshift/clients/RequestReader.java
@@ -43,6 +43,8 @@
     private RequestHead head = new RequestHead();
     private byte[] bytes = EMPTY;
     private int length;
+    /** The length of the request with its body, as far as its head tells; 0 until the head is complete. */
+    private int expectedLength;
     private int lineStart;
     private int methodLetters;
     private boolean methodComplete;
@@ -61,12 +63,17 @@
         return part == Part.COMPLETE;
     }
 
-    /** Returns how many bytes to reserve for the body; 0 until the head is complete. */
-    int bodyBytesToReserve() {
-        if (part.isHead()) {
-            return 0;
-        }
-        return head.isChunked() ? MAX_BODY_BYTES : (int) head.bodyLength();
+    /** Returns whether the head of the request is complete. */
+    boolean isHeadComplete() {
+        return !part.isHead();
+    }
+
+    /**
+     * Returns the memory to reserve for the request, in bytes: what it takes up now and, once the head is
+     * complete, what the body will take up.
+     */
+    int bytesToReserve() {
+        return Math.max(bytes.length, expectedLength) + head.heldBytes();
     }
 
     /**
@@ -89,6 +96,7 @@
         head = new RequestHead();
         bytes = EMPTY;
         length = 0;
+        expectedLength = 0;
         lineStart = 0;
         methodLetters = 0;
         methodComplete = false;
@@ -146,8 +154,9 @@
             throw new InvalidRequestException(413, "request is larger than " + MAX_REQUEST_BYTES + " bytes");
         }
         if (needed > bytes.length) {
-            int doubled = Math.min(MAX_REQUEST_BYTES, Math.max(INITIAL_BUFFER_BYTES, bytes.length * 2));
-            bytes = Arrays.copyOf(bytes, Math.max(needed, doubled));
+            int doubled = Math.max(INITIAL_BUFFER_BYTES, bytes.length * 2);
+            int longest = expectedLength == 0 || head.isChunked() ? MAX_REQUEST_BYTES : expectedLength;
+            bytes = Arrays.copyOf(bytes, Math.max(needed, Math.min(longest, doubled)));
         }
     }
 
@@ -219,6 +228,7 @@
         }
         head.end();
         remainingBytes = head.bodyLength();
+        expectedLength = length + (head.isChunked() ? MAX_BODY_BYTES : (int) remainingBytes);
         if (head.isChunked()) {
             part = Part.CHUNK_SIZE;
         } else {
--- a/src/main/java/rampshift/pipeline/AdmissionControl.java
+++ b/src/main/java/rampshift/pipeline/AdmissionControl.java
@@ -29,7 +29,7 @@
      * Creates an admission control that is open.
      *
      * @param maxTasks the maximum number of tasks in flight
-     * @param maxBytes the maximum total size of the messages of the tasks in flight
+     * @param maxBytes the maximum memory that the tasks in flight may take up, in bytes
      * @param overloadRetryAfter the delay after which a client that was rejected for overload may retry;
      *     zero to send no Retry-After
      */
@@ -88,8 +88,8 @@
         if (!clock.now().before(task.deadline())) {
             return Counters.Name.TASKS_REJECTED_LATE;     // unread while this process was stalled
         }
-        if (registry.size() >= maxTasks || registry.byteCount() + task.byteCount() > maxBytes) {
-            Log.warn("load-shed", "tasks", registry.size(), "bytes", registry.byteCount());
+        if (registry.size() >= maxTasks || registry.heldBytes() + task.heldBytes() > maxBytes) {
+            Log.warn("load-shed", "tasks", registry.size(), "bytes", registry.heldBytes());
             return Counters.Name.TASKS_REJECTED_OVERLOAD;
         }
         return window.isOpen() ? null : Counters.Name.TASKS_REJECTED_OVERLOAD;
--- a/src/main/java/rampshift/pipeline/InFlightTask.java
+++ b/src/main/java/rampshift/pipeline/InFlightTask.java
@@ -11,6 +11,8 @@
 /** A task from its admission until it is answered and all its attempts have ended. */
 final class InFlightTask {
     private static final int INITIAL_HEAD_CHARACTERS = 512;
+    /** The memory for the objects of a task and its attempts, beside its message and its header fields. */
+    private static final int OVERHEAD_BYTES = 2048;
 
     private final long id;
     private final ClientRequest request;
@@ -18,6 +20,7 @@
     /** The part of the head that is the same for all attempts: all but the field with the remaining time. */
     private final byte[] head;
     private final byte[] body;
+    private final int heldBytes;
     /** The attempts by their numbers; null before an attempt is sent and after it has ended. */
     private final List<AttemptExchange> attempts = new ArrayList<>(2);
     /** The start times of the attempts by their numbers; null for those that are known not to have run. */
@@ -33,6 +36,7 @@
         this.deadline = deadline;
         head = head(request).getBytes(StandardCharsets.ISO_8859_1);
         body = request.body();
+        heldBytes = OVERHEAD_BYTES + request.heldHeadBytes() + head.length + body.length;
     }
 
     private static String head(ClientRequest request) {
@@ -128,9 +132,9 @@
         return answered && openAttempts == 0;
     }
 
-    /** Returns the size of the message to a worker, without the field with the remaining time. */
-    int byteCount() {
-        return head.length + body.length;
+    /** Returns the memory that the task takes up while it is in flight, in bytes. */
+    int heldBytes() {
+        return heldBytes;
     }
 
     /** Returns the message to a worker, with the time that remains until the deadline. */
--- a/src/main/java/rampshift/pipeline/TaskRegistry.java
+++ b/src/main/java/rampshift/pipeline/TaskRegistry.java
@@ -13,12 +13,12 @@
     private final Map<Long, InFlightTask> tasks = new HashMap<>();
     private final Map<String, InFlightTask> byTransactionId = new HashMap<>();
     private final LinkedHashSet<String> recentTransactionIds = new LinkedHashSet<>();
-    private long byteCount;
+    private long heldBytes;
 
     void add(InFlightTask task) {
         tasks.put(task.id(), task);
         byTransactionId.put(task.transactionId(), task);
-        byteCount += task.byteCount();
+        heldBytes += task.heldBytes();
     }
 
     /** Returns a task in flight; null if there is none with this id. */
@@ -44,7 +44,7 @@
         if (task.isCompleted() && tasks.remove(task.id()) != null) {
             byTransactionId.remove(task.transactionId());
             remember(task.transactionId());
-            byteCount -= task.byteCount();
+            heldBytes -= task.heldBytes();
         }
     }
 
@@ -64,8 +64,8 @@
         return tasks.size();
     }
 
-    /** Returns the total size of the messages of the tasks in flight. */
-    long byteCount() {
-        return byteCount;
+    /** Returns the memory that the tasks in flight take up, in bytes. */
+    long heldBytes() {
+        return heldBytes;
     }
 }
--- a/src/main/java/rampshift/serve/Dispatcher.java
+++ b/src/main/java/rampshift/serve/Dispatcher.java
@@ -6,6 +6,7 @@
 import rampshift.clients.ClientLimits;
 import rampshift.clients.ClientListener;
 import rampshift.connections.Dialer;
+import rampshift.connections.MemoryBudget;
 import rampshift.counters.Counters;
 import rampshift.pipeline.AdmissionControl;
 import rampshift.pipeline.AdmissionWindow;
@@ -50,11 +51,13 @@
             Configuration configuration, int extensionDescriptors) throws IOException {
         Settings settings = configuration.settings().read(configuration.seed());
         HostSettings host = configuration.settings().hostSettings();
-        ResourceLimits limits = ResourceLimits.of(configuration, host, extensionDescriptors);
+        ResourceLimits limits = ResourceLimits.of(configuration, host, extensionDescriptors,
+                Runtime.getRuntime().maxMemory());
         longestDeadline = settings.types.stream().map(TrafficType::timeout).reduce(Span.ZERO, Span::orLonger);
         drainGrace = settings.drainGrace;
+        MemoryBudget responseMemory = new MemoryBudget(limits.responseBytes());
         pool = new ConnectionPool(thread, dialer, clock, host, counters, limits.workerConnections(),
-                limits.responseBytes());
+                responseMemory);
         tasks = new TaskRegistry();
         Responder responder = new Responder(counters);
         AttemptSender sender = new AttemptSender(pool, clock, counters);
@@ -70,7 +73,8 @@
         RequestDecoder decoder = new RequestDecoder(settings, host, counters, tasks, admission);
         ClientLimits clientLimits =
                 new ClientLimits(limits.clientConnections(), limits.spareClientConnections(),
-                        limits.receivingBytes(), longestDeadline.times(CLIENT_IDLE_DEADLINES));
+                        new MemoryBudget(limits.receivingBytes()), responseMemory,
+                        longestDeadline.times(CLIENT_IDLE_DEADLINES));
         clientListener = new ClientListener(thread, buffers, clock, counters, clientLimits, decoder,
                 new OverloadRejection(admissionWindow, overloadRetryAfter, tasks, counters),
                 stalls::maxUnreadTime);
--- a/src/main/java/rampshift/workers/ConnectionPool.java
+++ b/src/main/java/rampshift/workers/ConnectionPool.java
@@ -48,17 +48,17 @@
      * Creates a pool without workers.
      *
      * @param maxConnections the maximum number of connections to workers, including idle ones and dials
-     * @param maxResponseBytes the maximum memory for incomplete responses, in bytes
+     * @param responseMemory the memory for incomplete responses
      */
     public ConnectionPool(XnioIoThread thread, Dialer dialer, Clock clock, HostSettings settings,
-            Counters counters, int maxConnections, long maxResponseBytes) {
+            Counters counters, int maxConnections, MemoryBudget responseMemory) {
         this.thread = thread;
         this.dialer = dialer;
         this.clock = clock;
         this.settings = settings;
         this.counters = counters;
         this.maxConnections = maxConnections;
-        responseMemory = new MemoryBudget(maxResponseBytes);
+        this.responseMemory = responseMemory;
         loadReportReader = new LoadReportReader(settings.freeSlotsField(), settings.freeMemoryField());
         idleConnections = new IdleConnectionCache(endpoints.values(), clock, counters,
                 settings.connectionIdleTimeout().times(MAX_IDLE_SHARE));
--- a/src/test/java/rampshift/connections/MemoryBudgetTest.java
+++ b/src/test/java/rampshift/connections/MemoryBudgetTest.java
@@ -54,6 +54,20 @@
         assertEquals(0, budget.reservedBytes());
     }
 
+    @Test
+    void aPinnedReservationIsNotEvicted() {
+        MemoryBudget.Reservation pinned = reservation("pinned");
+        assertTrue(pinned.resizeAndPin(60));
+        assertTrue(reservation("second").resize(40));
+        assertTrue(reservation("third").resize(30));
+        assertEquals(List.of("second"), evicted);
+        assertFalse(reservation("fourth").resizeAndPin(50), "the third one's memory is not enough");
+        assertEquals(List.of("second", "third"), evicted);
+        assertTrue(pinned.resize(60), "from now on it may be evicted");
+        assertTrue(reservation("fifth").resize(50));
+        assertEquals(List.of("second", "third", "pinned"), evicted);
+    }
+
     /** An owner may release or resize others while it is evicted, as the policy does that cancels a copy. */
     @Test
     void staysWithinTheLimitWhateverOwnersDoMeanwhile() {
@@ -63,7 +77,10 @@
             all.add(budget.newReservation(() -> all.get(random.nextInt(20)).resize(random.nextInt(30))));
         }
         for (int step = 0; step < 20_000; step++) {
-            all.get(random.nextInt(20)).resize(random.nextInt(4) == 0 ? 0 : random.nextInt(60));
+            MemoryBudget.Reservation next = all.get(random.nextInt(20));
+            int bytes = random.nextInt(4) == 0 ? 0 : random.nextInt(60);
+            boolean granted = random.nextBoolean() ? next.resize(bytes) : next.resizeAndPin(bytes);
+            assertTrue(granted || bytes > 0, "0 bytes are always granted");
             assertTrue(budget.reservedBytes() <= MAX_BYTES, "step " + step);
         }
         all.forEach(MemoryBudget.Reservation::release);
--- a/src/test/java/rampshift/serve/PipelinedRequestTest.java
+++ b/src/test/java/rampshift/serve/PipelinedRequestTest.java
@@ -1,6 +1,7 @@
 package rampshift.serve;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 import static rampshift.TestPeers.list;
 import static rampshift.TestPeers.node;
 import static rampshift.TestPeers.until;
@@ -24,6 +25,8 @@
     private static final int EXCESSIVE_REQUESTS = 20;
     /** A memory limit that one request of that size uses up. */
     private static final String SMALL_MEMORY_LIMITS = "{\"memory_mb\":1,\"sockets\":256}";
+    /** With 100 bytes of memory for each they exceed that limit. */
+    private static final int MAX_SINGLE_BYTES = 840;
     private static final String LARGE_REQUEST_UP_TO_ID =
             "POST /api HTTP/1.1\r\nHost: a\r\nX-Lane: look\r\nX-Remaining: 5\r\n"
                     + "Content-Length: 60000\r\nX-Txn: ";
@@ -78,6 +81,23 @@
         otherClient.close();
     }
 
+    /** Guards against counting the bytes of pipelined input alone: single bytes take up a hundred times that. */
+    @Test
+    void pipelinedInputIsLimitedByTheMemoryThatItTakesUp() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        TestServer worker = workerReleasedBy(release, "sold");
+        node = node(null, list(true, worker.entry("s-1", IN_SERVICE)), SMALL_MEMORY_LIMITS);
+        TestConnection client = client().sendTask("t", NON_IDEMPOTENT, "x");
+        awaitFirstTask(worker);
+        client.sendTask("next", NON_IDEMPOTENT, "x");
+        for (int sent = 0; count("sent_ahead") == 0; sent++) {
+            assertTrue(sent < MAX_SINGLE_BYTES, "single bytes are still kept");
+            client.write("P");
+        }
+        release.countDown();
+        assertEquals("sold", client.read().text());
+    }
+
     /**
      * Guards against marking the interim response as sent while the preceding request is in flight, after
      * which the client never receives it.
--- a/src/test/java/rampshift/serve/ResponseDeliveryTest.java
+++ b/src/test/java/rampshift/serve/ResponseDeliveryTest.java
@@ -39,6 +39,7 @@
     private static final int LARGE_RESPONSE_BYTES = 60_000;
     private static final String LARGE_TEXT = "r".repeat(LARGE_RESPONSE_BYTES);
     private static final int MAX_CLIENT_CONNECTIONS = 22;
+    private static final String MEMORY_FOR_ONE_RESPONSE = "{\"memory_mb\":1,\"sockets\":256}";
     /** Longer than the delay until sent bytes can be read. */
     private static final int ARRIVAL_MS = 20;
     /** Longer than the minimum time for which a closing connection stays open without further input. */
@@ -269,4 +270,27 @@
         }
         return value;
     }
+
+    /**
+     * Guards against unlimited memory for responses that clients do not read: the one that has been written
+     * for the longest time is dropped with its connection.
+     */
+    @Test
+    void theSlowestReaderGivesWayWhenTheMemoryForResponsesIsExhausted() throws Exception {
+        TestServer worker = worker((task, connection) -> connection.respondDone(task, LARGE_TEXT));
+        node = node(null, list(true, worker.entry("s-1", IN_SERVICE)), MEMORY_FOR_ONE_RESPONSE);
+        SlowClient first = slowClient();
+        first.serverEnd().getSinkChannel()
+                .setConduit(new PartialWriteSink(first.serverEnd().getSinkChannel().getConduit(), 0));
+        serve(first);
+        first.clientEnd().sendTask("a", IDEMPOTENT, "x");
+        until("the first response is ready", () -> count("finished") == 1);
+        SlowClient second = slowClient();
+        serve(second);
+        second.clientEnd().sendTask("b", IDEMPOTENT, "x");
+        until("the second response is ready", () -> count("finished") == 2);
+        assertEquals(LARGE_TEXT, second.clientEnd().read().text());
+        String received = first.clientEnd().readUntil(NO_SUCH_TEXT);
+        assertTrue(received.length() < LARGE_RESPONSE_BYTES, "the connection ends within the response");
+    }
 }
--- a/src/test/java/rampshift/workers/ConnectionPoolFixture.java
+++ b/src/test/java/rampshift/workers/ConnectionPoolFixture.java
@@ -23,6 +23,7 @@
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
 import rampshift.connections.Dialer;
+import rampshift.connections.MemoryBudget;
 import rampshift.counters.Counters;
 import rampshift.policy.AttemptOutcome;
 import rampshift.settings.HostSettings;
@@ -78,7 +79,7 @@
             HostSettings settings = new HostSettings(List.of(), List.of(), List.of(), List.of(),
                     Span.ofMillis(dialTimeoutMs), Span.ofMillis(idleTimeoutMs), 100, "x0", "x1");
             pool = new ConnectionPool(thread, dialer, new Clock(), settings, counters, maxConnections,
-                    MAX_RESPONSE_BYTES);
+                    new MemoryBudget(MAX_RESPONSE_BYTES));
             listWorker(ADDRESS, "a/m", 0, true);
         });
     }
