Names of fields in the JSON of peers are not kept

A worker that sends a new name with each line, or a discovery service that does, fills the heap without any response or list that is too large.

Change: PeerJson replaces its factory after 256 KB of input and interns no names.

--- a/src/main/java/rampshift/discovery/EndpointListParser.java
+++ b/src/main/java/rampshift/discovery/EndpointListParser.java
@@ -1,16 +1,16 @@
 package rampshift.discovery;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import rampshift.connections.PeerJson;
 import rampshift.settings.InvalidInputException;
 
 /** Parses endpoint lists in the JSON format of the discovery agent. Unknown fields are skipped. */
 public final class EndpointListParser {
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final PeerJson JSON = new PeerJson();
     private static final String VERSION_FIELD = "rev";
     private static final String COMPLETE_FIELD = "all";
     private static final String ENDPOINTS_FIELD = "targets";
@@ -27,7 +27,7 @@
      * @throws InvalidInputException if the bytes are not JSON, or lack the version or the endpoints
      */
     public static EndpointList parse(byte[] bytes, int length) {
-        try (JsonParser parser = JSON.createParser(bytes, 0, length)) {
+        try (JsonParser parser = JSON.parser(bytes, length)) {
             return parseList(parser);
         } catch (IOException e) {
             throw new InvalidInputException("endpoint list is not valid JSON");
--- a/src/main/java/rampshift/workers/LoadReportReader.java
+++ b/src/main/java/rampshift/workers/LoadReportReader.java
@@ -1,13 +1,13 @@
 package rampshift.workers;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
+import rampshift.connections.PeerJson;
 
 /** Reads load reports from JSON objects. */
 final class LoadReportReader {
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final PeerJson JSON = new PeerJson();
     /** The exclusive limit of plausible numbers; larger ones are ignored as errors of the worker. */
     private static final double MAX_PLAUSIBLE_VALUE = 1e6;
 
@@ -32,7 +32,7 @@
      * @throws IOException if the text is not valid JSON
      */
     LoadReport read(String text) throws IOException {
-        try (JsonParser parser = JSON.createParser(text)) {
+        try (JsonParser parser = JSON.parser(text)) {
             parser.nextToken();
             return read(parser);
         }
@@ -45,7 +45,7 @@
      * @throws IOException if the body is not valid JSON
      */
     LoadReport read(byte[] body, int length) throws IOException {
-        try (JsonParser parser = JSON.createParser(body, 0, length)) {
+        try (JsonParser parser = JSON.parser(body, length)) {
             parser.nextToken();
             return read(parser);
         }
--- a/src/main/java/rampshift/workers/ProgressMessageParser.java
+++ b/src/main/java/rampshift/workers/ProgressMessageParser.java
@@ -1,15 +1,15 @@
 package rampshift.workers;
 
-import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import rampshift.connections.PeerJson;
 
 /** Parses one line of a worker's response, which must be a JSON object. An instance parses one line. */
 final class ProgressMessageParser {
-    private static final JsonFactory JSON = new JsonFactory();
+    private static final PeerJson JSON = new PeerJson();
     private static final byte[] NO_RESULT = {};
 
     private final byte[] line;
@@ -41,7 +41,7 @@
     }
 
     private ProgressMessage parse() throws IOException {
-        try (JsonParser parser = JSON.createParser(line, 0, length)) {
+        try (JsonParser parser = JSON.parser(line, length)) {
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new IOException("not a JSON object");
             }
--- a/src/test/java/rampshift/workers/ProgressReaderTest.java
+++ b/src/test/java/rampshift/workers/ProgressReaderTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.management.ManagementFactory;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -12,6 +14,11 @@
 import rampshift.policy.AttemptOutcome;
 
 class ProgressReaderTest {
+    private static final int LINES_WITH_NEW_NAMES = 1_000;
+    private static final int NAME_LENGTH = 45_000;
+    /** A tenth of all the names. */
+    private static final int MAX_KEPT_BYTES = LINES_WITH_NEW_NAMES * NAME_LENGTH / 10;
+
     private final ProgressReader reader = new ProgressReader("t", new LoadReportReader("x0", "x1"));
 
     private ProgressMessage read(String body) throws MalformedProgressException {
@@ -65,4 +72,20 @@
                 () -> read(" ".repeat(64 * 1024 + 1)));
         assertEquals(AttemptOutcome.ERRED, thrown.outcome());
     }
+
+    /** Guards against a parser that keeps all names of fields that any line has had. */
+    @Test
+    void namesOfFieldsAreNotKept() throws Exception {
+        long before = usedHeapBytes();
+        for (int i = 0; i < LINES_WITH_NEW_NAMES; i++) {
+            read("{\"" + "x".repeat(NAME_LENGTH) + i + "\":1,\"state\":\"started\"}\n");
+        }
+        long kept = usedHeapBytes() - before;
+        assertTrue(kept < MAX_KEPT_BYTES, kept + " bytes are kept");
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
 }
