One buffer of the HTTP server for each client fits the direct memory

At 16 KB each, 575 clients hold 9.2 MB, and serve.sh gives 5 MB at 40 MB and 8 MB at 64 MB; beyond that each new buffer throws an OutOfMemoryError, which the JVM's exit option does not cover.

Change: buffers of 4 KB. Longer bodies of responses were never copied into them.

--- a/src/main/java/rampshift/serve/DispatcherServer.java
+++ b/src/main/java/rampshift/serve/DispatcherServer.java
@@ -26,7 +26,8 @@
  * methods may be called on any other thread.
  */
 public final class DispatcherServer {
-    private static final int BUFFER_BYTES = 16 * 1024;
+    /** Size of a direct buffer, of which a connection may hold one while its client does not read. */
+    static final int BUFFER_BYTES = 4 * 1024;
     private static final int MAX_POOLED_BUFFERS = 256;
     private static final int STATUS_OK = 200;
 
