Workers that have long been gone are forgotten

Releases that replace all workers fill the heap in the long run; a discovery service that renames its workers does so at once: with 40 complete lists of 500 new workers each, 40 MB, the dispatcher is gone after 3 s (connection refused).

Change: at the end of a list the policy forgets the workers that have not been ready for the longest time, beyond 1,024 of them, unless an attempt or a health check is open; the pool and the map of uids follow, unless a later list has named the worker as ready. A worker that is not ready gets nothing new, so no rule depends on what is forgotten.

--- a/src/main/java/rampshift/pipeline/EndpointListUpdater.java
+++ b/src/main/java/rampshift/pipeline/EndpointListUpdater.java
@@ -45,7 +45,25 @@
         for (Endpoint endpoint : list.endpoints()) {
             policy.onEndpoint(listedWorker(endpoint));
         }
-        policy.onEndpointListEnd();
+        end(policy);
+    }
+
+    /** Reports to the policy that no list can be obtained. */
+    void reportFailure(DispatchPolicy policy) {
+        policy.onEndpointListBegin(EndpointListKind.FAILED);
+        end(policy);
+    }
+
+    private void end(DispatchPolicy policy) {
+        policy.onEndpointListEnd().forEach(this::forget);
+    }
+
+    /** Forgets a worker that the policy has forgotten, unless a later list has named it meanwhile. */
+    private void forget(long number) {
+        if (!pool.isReady(number)) {
+            pool.forgetWorker(number);
+            workerIds.forget(number);
+        }
     }
 
     private ListedWorker listedWorker(Endpoint endpoint) {
--- a/src/main/java/rampshift/pipeline/PolicyHost.java
+++ b/src/main/java/rampshift/pipeline/PolicyHost.java
@@ -118,10 +118,7 @@
 
     /** Reports that the discovery service can't be reached. The current list stays in use. */
     public void onEndpointListFailed() {
-        onEvent(() -> {
-            policy.onEndpointListBegin(EndpointListKind.FAILED);
-            policy.onEndpointListEnd();
-        });
+        onEvent(() -> endpoints.reportFailure(policy));
     }
 
     void onTask(InFlightTask task) {
--- a/src/main/java/rampshift/pipeline/WorkerIds.java
+++ b/src/main/java/rampshift/pipeline/WorkerIds.java
@@ -30,6 +30,11 @@
         return number;
     }
 
+    /** Forgets a worker. If its uid is used again, it gets a number as if it were new. */
+    void forget(long number) {
+        numbersByUid.remove(uidsByNumber.remove(number));
+    }
+
     private static long hash(String uid) {
         CRC32 crc = new CRC32();
         crc.update(uid.getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/rampshift/policy/DispatchPolicy.java
+++ b/src/main/java/rampshift/policy/DispatchPolicy.java
@@ -1,5 +1,6 @@
 package rampshift.policy;
 
+import java.util.List;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -88,10 +89,15 @@
         observer.onListedWeight(worker, entry.weight());
     }
 
-    /** Ends the endpoint list that has begun. */
-    public void onEndpointListEnd() {
+    /**
+     * Ends the endpoint list that has begun.
+     *
+     * @return the ids of workers that have long been gone, and are forgotten now
+     */
+    public List<Long> onEndpointListEnd() {
         context.workers.endList();
         tasks.unparkAll();
+        return context.workers.forgetAbsent();
     }
 
     /** Records a task that has arrived. Its id is new, and its type an index into those of the settings. */
--- a/src/main/java/rampshift/policy/WorkerTable.java
+++ b/src/main/java/rampshift/policy/WorkerTable.java
@@ -2,13 +2,19 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 
 /** The workers that the endpoint lists have named, and the ready ones that each traffic type may go to. */
 final class WorkerTable {
+    /** How many workers that are not ready are remembered, in case that they are listed as ready again. */
+    private static final int MAX_ABSENT = 1024;
+
     /** All workers, in the order of their ids. */
     final List<Worker> all = new ArrayList<>();
     /** The ready workers. */
@@ -19,6 +25,8 @@
      */
     private final List<List<List<Worker>>> byType = new ArrayList<>();
     private final List<TrafficType> types;
+    /** The workers that are not ready, in the order in which they ceased to be. */
+    private final Set<Worker> absent = new LinkedHashSet<>();
     private final Map<Long, Worker> byId = new HashMap<>(); // looked up, never iterated
     private final Map<Integer, KindStatistics> kinds = new HashMap<>(); // looked up, never iterated
     private final Map<Integer, ZoneStatistics> zones = new HashMap<>(); // looked up, never iterated
@@ -124,6 +132,36 @@
         }
     }
 
+    /**
+     * Forgets the workers that have not been ready for the longest time, where there are too many and they
+     * have no attempt in flight: each worker that a release replaces would otherwise be kept for good.
+     *
+     * @return the ids of the forgotten workers
+     */
+    List<Long> forgetAbsent() {
+        for (Worker worker : all) {
+            if (worker.ready) {
+                absent.remove(worker);
+            } else {
+                absent.add(worker);
+            }
+        }
+        List<Long> forgotten = new ArrayList<>();
+        Iterator<Worker> longestFirst = absent.iterator();
+        for (int excess = absent.size() - MAX_ABSENT; excess > 0; excess--) {
+            Worker worker = longestFirst.next();
+            if (worker.attempts.isEmpty() && worker.awaitingProbe.isEmpty()) {
+                longestFirst.remove();
+                byId.remove(worker.id);
+                forgotten.add(worker.id);
+            }
+        }
+        if (!forgotten.isEmpty()) {
+            all.removeIf(worker -> !byId.containsKey(worker.id));
+        }
+        return forgotten;
+    }
+
     private void fill(List<List<Worker>> localAndRemote, Predicate<Worker> filter) {
         localAndRemote.forEach(List::clear);
         for (Worker worker : all) {
--- a/src/main/java/rampshift/workers/ConnectionPool.java
+++ b/src/main/java/rampshift/workers/ConnectionPool.java
@@ -102,6 +102,11 @@
         }
     }
 
+    /** Forgets a worker that is not ready. Exchanges with it that are in progress go on. */
+    public void forgetWorker(long workerNumber) {
+        idleConnections.closeAll(endpoints.remove(workerNumber));
+    }
+
     /** Returns whether the worker accepts new tasks according to the latest endpoint list. */
     public boolean isReady(long workerNumber) {
         WorkerEndpoint endpoint = endpoints.get(workerNumber);
--- a/src/test/java/rampshift/MemoryLimitTest.java
+++ b/src/test/java/rampshift/MemoryLimitTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
@@ -22,6 +23,8 @@
     private static final int WORKERS = 12;
     private static final int TASKS = 300;
     private static final int CLIENTS = 500;
+    private static final int RELEASES = 40;
+    private static final int WORKERS_PER_RELEASE = 500;
     /** Length of a line that stays incomplete: 300 of them exceed the heap of 18 MB. */
     private static final int LINE_BYTES = 60_000;
     /** Header fields of which a request may have as many, in 15 KB. */
@@ -168,4 +171,30 @@
         endlessResponse = "";
         assertServing();
     }
+
+    /**
+     * Guards against keeping each worker that was ever listed: releases that replace all workers fill the heap
+     * within days, and a discovery service that renames them within seconds.
+     */
+    @Test
+    void workersThatHaveLongBeenReplacedAreForgotten() throws Exception {
+        List<String> lists = new ArrayList<>();
+        for (int i = 0; i < RELEASES; i++) {
+            String[] entries = new String[WORKERS_PER_RELEASE];
+            for (int k = 0; k < WORKERS_PER_RELEASE; k++) {
+                entries[k] = workers.get(0).entry("r-" + i + "-" + k, "in_service");
+            }
+            lists.add(TestPeers.list(true, entries));
+        }
+        List<String> released = Collections.synchronizedList(new ArrayList<>(lists.subList(0, 1)));
+        dispatcher.close();
+        try (TestServer discovery = TestDiscovery.start(released)) {
+            dispatcher = ServeProcess.watching(discovery, folder, LIMITS);
+            released.addAll(lists.subList(1, RELEASES));
+            TestPeers.until("all lists are read",
+                    () -> discovery.received.get(discovery.received.size() - 1).startLine()
+                            .contains("index=" + RELEASES + "&") || !dispatcher.process().isAlive());
+            assertServing();
+        }
+    }
 }
--- a/src/test/java/rampshift/ServeProcess.java
+++ b/src/test/java/rampshift/ServeProcess.java
@@ -39,11 +39,15 @@
         this(Main.class, folder, limits, entries);
     }
 
-    /** Starts a dispatcher by another main class. */
+    /** Starts a dispatcher without a discovery agent by another main class. */
     ServeProcess(Class<?> mainClass, Path folder, String limits, String... entries) throws Exception {
+        this(TestPeers.configuration(null, TestPeers.list(true, entries), limits), mainClass, folder);
+    }
+
+    private ServeProcess(String configuration, Class<?> mainClass, Path folder) throws Exception {
         log = folder.resolve("log");
         Path config = folder.resolve("config.json");
-        Files.writeString(config, TestPeers.configuration(null, TestPeers.list(true, entries), limits));
+        Files.writeString(config, configuration);
         Path java = folder.resolve("java");
         Files.writeString(java, JAVA);
         java.toFile().setExecutable(true);
@@ -67,6 +71,12 @@
         port = Integer.parseInt(listening.group(1));
     }
 
+    /** Starts a dispatcher that watches a discovery agent. */
+    static ServeProcess watching(TestServer discovery, Path folder, String limits) throws Exception {
+        return new ServeProcess(TestPeers.configuration(discovery, TestPeers.list(true), limits), Main.class,
+                folder);
+    }
+
     /** Connects as a client. */
     public TestConnection connect() throws IOException {
         return new TestConnection(new Socket(InetAddress.getLoopbackAddress(), port));
