A task that has ended is not kept until its deadline

Change: a timer names its task by the id, and the task is looked up when the timer is due. Timers, their order and the wake-ups of the host are the same. Tests of the queue register their tasks now, as the policy does, and set a wake-up by its own method.

--- a/src/main/java/rampshift/policy/EndpointListPolicy.java
+++ b/src/main/java/rampshift/policy/EndpointListPolicy.java
@@ -47,7 +47,7 @@
 
     private void subscribeAfter(Span wait) {
         subscribeAt = context.after(wait);
-        context.tasks.decideAt(subscribeAt, null);
+        context.tasks.wakeUpAt(subscribeAt);
     }
 
     /** Returns whether tasks have to wait for the next endpoint list. */
--- a/src/main/java/rampshift/policy/TaskQueue.java
+++ b/src/main/java/rampshift/policy/TaskQueue.java
@@ -88,9 +88,14 @@
         return null;
     }
 
-    /** Schedules a decision on the task at the moment; a null task only wakes the host. */
+    /** Schedules a decision on the task at the moment. */
     void decideAt(Moment at, Task task) {
-        timers.set(at, task);
+        timers.set(at, task.id);
+    }
+
+    /** Has the host wake up at the moment, without a decision on a task. */
+    void wakeUpAt(Moment at) {
+        timers.setWakeUp(at);
     }
 
     /**
@@ -102,14 +107,15 @@
                 && !at.before(task.nextReviewAt);
         if (!isSooner) {
             task.nextReviewAt = at;
-            timers.set(at, task);
+            timers.set(at, task.id);
         }
     }
 
     /** Queues the open tasks whose timers are due. */
     void enqueueDue(Moment now) {
         while (timers.due(now)) {
-            Task task = timers.poll();
+            TimerQueue.Timer timer = timers.poll();
+            Task task = timer.isOfTask() ? tasksById.get(timer.taskId()) : null;
             if (task != null && !task.closed) {
                 enqueue(task);
             }
--- a/src/test/java/rampshift/policy/TaskQueueTest.java
+++ b/src/test/java/rampshift/policy/TaskQueueTest.java
@@ -4,7 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertSame;
 
+import java.lang.ref.WeakReference;
 import org.junit.jupiter.api.Test;
+import rampshift.TestPeers;
 import rampshift.time.Moment;
 import rampshift.time.Span;
 
@@ -12,10 +14,14 @@
 class TaskQueueTest {
     private final TaskQueue queue = new TaskQueue();
 
-    private static Task task(long id) {
+    /** Returns a new task that has arrived. */
+    private Task task(long id) {
         TrafficType type = new TrafficType(1, 0, Span.ofMillis(100), 3, Span.ofMillis(5000),
                 TrafficType.Effect.IDEMPOTENT, TrafficType.DeduplicationScope.ALL, Span.ZERO, null, null);
-        return new Task(id, type, new TaskRequest(0, 0, Span.ZERO, 1, 0, Span.ofMillis(5000)), new Moment(0));
+        TaskRequest request = new TaskRequest(0, 0, Span.ZERO, 1, 0, Span.ofMillis(5000));
+        Task task = new Task(id, type, request, new Moment(0));
+        queue.register(task);
+        return task;
     }
 
     @Test
@@ -89,7 +95,7 @@
     void tasksAreEnqueuedWhenTheirTimersAreDue() {
         Task task = task(1);
         queue.decideAt(Moment.ofMillis(20), task);
-        queue.decideAt(Moment.ofMillis(10), null);
+        queue.wakeUpAt(Moment.ofMillis(10));
         assertEquals(Moment.ofMillis(10), queue.nextTimer());
         queue.enqueueDue(Moment.ofMillis(19));
         assertNull(queue.poll());
@@ -117,4 +123,27 @@
         attempt.end(false);
         assertNull(queue.pollCancel());
     }
+
+    /**
+     * Guards against keeping each task until its deadline, some 500 bytes: a client that sends tasks which end at
+     * once fills a small heap.
+     */
+    @Test
+    void aTaskThatHasEndedIsNotKeptUntilItsTimer() throws Exception {
+        WeakReference<Task> ended = endedTaskWithTimer();
+        TestPeers.until("the task is collected", () -> {
+            System.gc();
+            return ended.get() == null;
+        });
+        queue.enqueueDue(new Moment(10));
+        assertNull(queue.poll());
+    }
+
+    private WeakReference<Task> endedTaskWithTimer() {
+        Task task = task(1);
+        queue.decideAt(new Moment(10), task);
+        task.closed = true;
+        queue.remove(task);
+        return new WeakReference<>(task);
+    }
 }
