--- a/src/main/java/rampshift/counters/Counters.java
+++ b/src/main/java/rampshift/counters/Counters.java
@@ -53,7 +53,7 @@
         OUTCOME_ERRED,
         /** Attempts that the worker rejected for lack of capacity. */
         OUTCOME_FULL,
-        /** Attempts that timed out after their request was written. */
+        /** Attempts that timed out, or whose response was dropped, after their request was written. */
         OUTCOME_TIMED_OUT,
         /** Attempts whose connection could not be opened, or failed before their request was written. */
         OUTCOME_NO_CONNECTION,
--- a/src/test/java/rampshift/MemoryLimitTest.java
+++ b/src/test/java/rampshift/MemoryLimitTest.java
@@ -17,12 +17,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Peers that make a dispatcher with the smallest documented memory hold as much as they can. */
+/**
+ * Peers that make a dispatcher with the smallest documented memory hold as much as they can. The system
+ * properties {@code memory.limit.mb} and {@code memory.limit.sockets} set other limits.
+ */
 class MemoryLimitTest {
-    private static final String LIMITS = "{\"memory_mb\":40,\"sockets\":1024}";
+    private static final int SOCKETS = Integer.getInteger("memory.limit.sockets", 1024);
+    private static final String LIMITS = "{\"memory_mb\":" + Integer.getInteger("memory.limit.mb", 40)
+            + ",\"sockets\":" + SOCKETS + "}";
     private static final int WORKERS = 12;
-    private static final int TASKS = 300;
-    private static final int CLIENTS = 500;
+    private static final int TASKS = SOCKETS * 300 / 1024;
+    /** As many as may be connected at once. */
+    private static final int CLIENTS = Math.min(500, (SOCKETS - 64) * 53 / 100);
     private static final int RELEASES = 40;
     private static final int WORKERS_PER_RELEASE = 500;
     /** Length of a line that stays incomplete: 300 of them exceed the heap of 18 MB. */
