--- a/src/main/java/rampshift/clients/ClientConnection.java
+++ b/src/main/java/rampshift/clients/ClientConnection.java
@@ -2,8 +2,8 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import org.xnio.StreamConnection;
 import org.xnio.IoUtils;
+import org.xnio.StreamConnection;
 import org.xnio.conduits.StreamSourceConduit;
 import rampshift.connections.MemoryBudget;
 import rampshift.time.Moment;
--- a/src/test/java/rampshift/MemoryLimitTest.java
+++ b/src/test/java/rampshift/MemoryLimitTest.java
@@ -137,7 +137,7 @@
         assertEquals(-1, dispatcher.log().indexOf("OutOfMemoryError"), dispatcher.log());
     }
 
-    /** Guards against unlimited memory for the responses of all workers together, which ends the I/O thread. */
+    /** Guards against unlimited memory for the responses of all workers, which ends the I/O thread. */
     @ParameterizedTest
     @EnumSource(IncompleteResponse.class)
     void responsesThatNeverEndLeaveNoTaskWithoutAnAnswer(IncompleteResponse response) throws Exception {
@@ -165,7 +165,7 @@
         assertServing();
     }
 
-    /** Guards against counting the message of a task alone, but not its header fields as the server holds them. */
+    /** Guards against counting the message of a task, but not its header fields in the HTTP server. */
     @Test
     void tasksInFlightWithManyHeaderFieldsAreAllAnswered() throws Exception {
         endlessResponse = "HTTP/1.1 200 OK\r\n";
@@ -179,8 +179,8 @@
     }
 
     /**
-     * Guards against keeping each worker that was ever listed: releases that replace all workers fill the heap
-     * within days, and a discovery service that renames them within seconds.
+     * Guards against keeping each worker that was ever listed: releases that replace all workers fill the
+     * heap in the long run, and a discovery service that renames them within seconds.
      */
     @Test
     void workersThatHaveLongBeenReplacedAreForgotten() throws Exception {
--- a/src/test/java/rampshift/serve/ResourceLimitsTest.java
+++ b/src/test/java/rampshift/serve/ResourceLimitsTest.java
@@ -12,7 +12,7 @@
 /** What peers may make a dispatcher hold fits the memory that deploy/serve.sh gives it. */
 class ResourceLimitsTest {
     private static final int BYTES_PER_MB = 1 << 20;
-    /** Heap of a dispatcher without peers, and of the objects of a connection, as docs/design.md states them. */
+    /** Heap of an idle dispatcher, and of the objects of a connection, as docs/design.md states them. */
     private static final long IDLE_BYTES = 6L * BYTES_PER_MB;
     private static final long BYTES_PER_CONNECTION = 3 * 1024;
     /** The longest request and the longest line of a response. */
