--- a/src/test/java/rampshift/policy/TaskQueueTest.java
+++ b/src/test/java/rampshift/policy/TaskQueueTest.java
@@ -125,8 +125,8 @@
     }
 
     /**
-     * Guards against keeping each task until its deadline, some 500 bytes: a client that sends tasks which end
-     * at once fills a small heap.
+     * Guards against keeping each task until its deadline, some 500 bytes: a client whose tasks end at once
+     * fills a small heap.
      */
     @Test
     void aTaskThatHasEndedIsNotKeptUntilItsTimer() throws Exception {
--- a/src/test/java/rampshift/serve/PipelinedRequestTest.java
+++ b/src/test/java/rampshift/serve/PipelinedRequestTest.java
@@ -81,7 +81,7 @@
         otherClient.close();
     }
 
-    /** Guards against counting just the bytes of pipelined input: single bytes take up a hundred times that. */
+    /** Guards against counting the bytes of pipelined input alone: single bytes take up far more. */
     @Test
     void pipelinedInputIsLimitedByTheMemoryThatItTakesUp() throws Exception {
         CountDownLatch release = new CountDownLatch(1);
