--- a/review/standin2/Stage.java
+++ b/review/standin2/Stage.java
@@ -5,6 +5,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -15,6 +16,7 @@
 /** The small deployment of a case: dispatchers that know each other, with the stand-ins around them. */
 final class Stage {
     private static final Set<Integer> PORTS = new LinkedHashSet<>();
+    private static final SecureRandom DRAWS = new SecureRandom();
 
     final Path root = Path.of("").toAbsolutePath();
     final Path folder;
@@ -89,16 +91,21 @@
         return command(line.toArray(new String[0]));
     }
 
+    /**
+     * Returns a port that is free for streams and datagrams, from below those that the system gives to clients, so
+     * that two runs at once don't draw the same one.
+     */
     static synchronized int freePort() throws IOException {
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
         while (true) {
-            try (ServerSocket tcp = new ServerSocket(0, 1, loopback);
-                    DatagramSocket udp = new DatagramSocket(tcp.getLocalPort(), loopback)) {
-                if (PORTS.add(tcp.getLocalPort())) {
-                    return udp.getLocalPort();
+            int port = 11_000 + DRAWS.nextInt(20_000);
+            try (ServerSocket tcp = new ServerSocket(port, 1, loopback);
+                    DatagramSocket udp = new DatagramSocket(port, loopback)) {
+                if (PORTS.add(port)) {
+                    return port;
                 }
             } catch (IOException e) {
-                // The port is taken for datagrams: the next one.
+                // The port is taken: the next one.
             }
         }
     }
