--- a/review/standin2/ManyRuns.java
+++ b/review/standin2/ManyRuns.java
@@ -11,7 +11,7 @@
     private static final int RUNS_BEFORE = Integer.getInteger("runs", 25);
     private static final double TASKS_PER_SECOND = 30;
     private static final double JUMP = 2.5;
-    private static final int JUMP_SECONDS = 3;
+    private static final int JUMP_SECONDS = 5;
     private static volatile double rate = TASKS_PER_SECOND;
 
     private ManyRuns() {}
